--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -23,14 +23,18 @@
 from endivesaddle.daemon.settings import LogSettings
 from endivesaddle.fleet import settings as options
 from endivesaddle.fleet.clock import Clock, SteadyClock
-from endivesaddle.fleet.ports import Store
+from endivesaddle.fleet.ports import Handlers, Store
 from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.following import Contact, Decoder, Follower, PolledStore
 from endivesaddle.fleet.routes.keeping import Keeping
 from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
+from endivesaddle.fleet.routes.roster import Roster
 from endivesaddle.fleet.routes.running import Runner
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
+from endivesaddle.instances import GrpcPeers, InstancesSettings
+from endivesaddle.instances import serve as serve_calls
 
 ROTATION_S = 2.6
 """The platform takes a router out after two misses, asked for once a second."""
@@ -57,6 +61,12 @@
     ready_listen: str = options.option(
         'ready-listen', "ip:port for the platform's health checks", '127.0.0.1:0', options.address
     )
+    listen: str = options.option(
+        'listen', 'ip:port for the other routers', '127.0.0.1:0', options.address
+    )
+    seeds: tuple[str, ...] = options.option(
+        'seeds', 'ip:port of other routers, where the store does not tell', (), options.names
+    )
     stop_within_s: float = options.option(
         'stop-within-s', 'seconds that a graceful stop may take', 8.0, options.number(1, 86400)
     )
@@ -69,6 +79,7 @@
     place: Annotated[PlaceSettings, cappa.Arg.destructured()]
     logs: Annotated[LogSettings, cappa.Arg.destructured()] = LogSettings()
     http: Annotated[CallersSettings, cappa.Arg.destructured()] = CallersSettings()
+    links: Annotated[InstancesSettings, cappa.Arg.destructured()] = InstancesSettings()
     forward: Annotated[ForwardSettings, cappa.Arg.destructured()] = ForwardSettings()
 
 
@@ -98,8 +109,30 @@
         self.follower = Follower(ports.store, ports.decoder, self.known, self.clock, contact)
         self.dispatcher = Dispatcher(settings.forward, self.known, self.clock, place.lifetime)
         self.keeping = Keeping(
-            ports.store, self.known, self.clock, place.lifetime, lambda: self.dispatcher.routers
+            ports.store,
+            self.known,
+            self.clock,
+            place.lifetime,
+            lambda: self.dispatcher.routers,
+            contact,
+        )
+        self.roster = Roster(ports.store, self.clock, place.lifetime, place.listen)
+        parts = NeighbourParts(
+            self.known,
+            contact,
+            ports.decoder,
+            self.keeping,
+            self.dispatcher,
+            self.roster,
+            place.seeds,
+        )
+        self.peers = GrpcPeers(settings.links, self.clock)
+        self.neighbours = Neighbours(
+            parts, self.peers, self.clock, place.lifetime, place.listen
         )
+        self.keeping.borrow = self.neighbours.borrow
+        self.handlers = Handlers()
+        self.neighbours.register(self.handlers)
         self.links = ForwardLinks(KeptLinks(), ports.dialect, self.clock)
         runner = Runner(self.dispatcher, self.keeping, self.links, self.clock)
         self.metrics = Metrics()
@@ -118,12 +151,17 @@
     async def run(self) -> None:
         """Serve until a signal says stop, then end what is open."""
         closed = anyio.Event()
-        async with anyio.create_task_group() as group:
+        place = self._settings.place
+        async with (
+            serve_calls(self.handlers, place.listen, self._settings.links),
+            anyio.create_task_group() as group,
+        ):
             group.start_soon(self.follower.run)
+            group.start_soon(self.roster.run)
+            group.start_soon(self.neighbours.run)
             group.start_soon(self.keeping.run)
             group.start_soon(self._tend)
             async with anyio.create_task_group() as serving:
-                place = self._settings.place
                 serving.start_soon(self._serve, self.app, place.http_listen, closed)
                 serving.start_soon(self._serve, ReadyApp(self._ready), place.ready_listen, closed)
                 events.STARTED.log(address=place.ready_listen, http_address=place.http_listen)
--- a/packages/fleet/src/endivesaddle/fleet/routes/events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/events.py
@@ -16,3 +16,11 @@
 GRANT_SHORT = event(
     1502, 'INFO', 'grant_short', 'a request did not fit into what the account has left here'
 )
+ROSTER = event(4607, 'INFO', 'routers_known', 'the routers that share budgets and repeats changed')
+ROSTER_LOST = event(
+    4608, 'INFO', 'routers_unrefreshed', 'the store does not tell of routers; the known ones stay'
+)
+FACTS = event(
+    4609, 'INFO', 'facts_from_router', 'another router told what the store does not tell here'
+)
+LENT = event(1503, 'INFO', 'grant_lent', 'a part of a share went from one router to another')
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -1,7 +1,7 @@
 """Follow the store: the declarations, and the entries of backend servers.
 
 One task for each prefix.  It lists, then takes changes by long polls that end
-within a second: a connection that went silent for good is noticed by the next
+within two seconds: a connection that went silent for good is noticed by the next
 poll, well inside the two seconds in which a change has to be in force.
 """
 
@@ -18,9 +18,12 @@
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.sentinels import Absent
 
-POLL_S = 0.9
-"""One poll waits so long for a change; with an answer's way it stays under a second."""
-ANSWER_S = 0.5
+POLL_S = 1.3
+"""One poll waits so long for a change.
+
+Each poll is a call that the store counts; with the answer's time a silent connection
+is still noticed 0.3 s before a change has to be in force."""
+ANSWER_S = 0.35
 """Beyond the wait, an answer may take so long before the connection counts as silent."""
 PAUSE_S = 0.1
 """Between tries while the store does not answer: ten a second for each router at most."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -12,18 +12,24 @@
 
 import msgspec
 
-HEADROOM_S = 6.0
+HEADROOM_S = 9.0
 """Seconds of an account's use that a router holds ahead, far from the total.
 
-A store outage of 4 to 9 s then refuses little."""
-STRANDED_SHARE = 0.2
+Store outages last 4 to 9 s; an account whose use stays the same meets none of them."""
+STRANDED_SHARE = 0.5
 """All routers' headroom together is at most this share of what is not granted yet.
 
 When all are killed at once no more than that is lost, and near the total it shrinks
 with what is left."""
+UNUSED_SHARE = 0.25
+"""Of that, so much is held for an account that has not been used here lately."""
 SMALL_TOKENS = 256
 """Differences below this are not worth a write."""
-RATE_S = 4.0
+LOW = 0.6
+"""A grant is raised when less than this of the headroom is left, so that writes are few."""
+HIGH = 2.0
+"""A grant is lowered when more than this many times the headroom is left."""
+RATE_S = 6.0
 """Time over which the use of an account is averaged."""
 
 
@@ -78,6 +84,7 @@
         self.reserved = 0
         self.others = 0
         self.reported = 0
+        self.given = 0
         self.rate_per_s = 0.0
         self._lifetime = lifetime
         self._seen_unix_s = now_unix_s
@@ -88,6 +95,21 @@
         """Tokens spent or reserved at their worst."""
         return self.spent + self.reserved
 
+    def lend(self, tokens: int) -> int:
+        """Give another router a part of what is not in use; return how much.
+
+        The store goes on counting it under this router, which never uses it again.
+        """
+        lent = max(0, min(tokens, (self.granted - self.used) // 2))
+        self.granted -= lent
+        self.given += lent
+        return lent
+
+    def borrowed(self, tokens: int) -> None:
+        """Take what another router gave."""
+        self.granted += tokens
+        self.given -= tokens
+
     def fits(self, tokens: int) -> bool:
         """Tell whether a worst case fits into what is granted."""
         return self.used + tokens <= self.granted
@@ -119,13 +141,13 @@
 
     def free(self, total: int) -> int:
         """Return what of the total is not granted to anybody."""
-        return total - self.others - self.granted
+        return total - self.others - self.granted - self.given
 
     def headroom(self, total: int, routers: int) -> int:
         """Return how much to hold beyond what is in use."""
-        spare = max(0, total - self.others - self.used)
+        spare = max(0, total - self.others - self.given - self.used)
         most = int(spare * STRANDED_SHARE / max(1, routers))
-        return min(most, max(int(self.rate_per_s * HEADROOM_S), most // 4))
+        return min(most, max(int(self.rate_per_s * HEADROOM_S), int(UNUSED_SHARE * most)))
 
     def wanted(self, total: int, routers: int, tokens: int = 0) -> int:
         """Return the grant to ask for; ``tokens`` more are needed now.
@@ -133,22 +155,26 @@
         It never leaves the sum of all grants above the total, unless more
         than that has been used already (a total that was lowered).
         """
-        most = max(total - self.others, self.used)
-        return min(most, self.used + tokens + self.headroom(total, routers))
+        most = max(total - self.others - self.given, self.used, -self.given)
+        return min(most, max(-self.given, self.used + tokens + self.headroom(total, routers)))
 
     def worth_asking(self, total: int, routers: int) -> bool:
         """Tell whether the grant is so far from what is wanted that a write pays."""
         headroom = self.headroom(total, routers)
         ahead = self.granted - self.used
-        if ahead > 2 * headroom + SMALL_TOKENS:
+        if ahead > HIGH * headroom + SMALL_TOKENS:
             return True
-        return ahead < headroom // 2 and self.wanted(total, routers) > self.granted + SMALL_TOKENS
+        return ahead < LOW * headroom and self.wanted(total, routers) > self.granted + SMALL_TOKENS
 
     def exhausted(self, total: int, tokens: int) -> bool:
         """Tell whether it is certain that the rest of the total doesn't cover a worst case."""
         return total - max(self.reported, self.spent) < tokens
 
     def entered(self, record: Record, granted: int) -> Record:
-        """Return the record with this router's entry changed."""
-        entry = Entry(granted, min(granted, self.spent))
+        """Return the record with this router's entry changed.
+
+        ``granted`` is what this router may use; what it gave others stays under its name,
+        what it borrowed stays under theirs.
+        """
+        entry = Entry(granted + self.given, min(granted, self.spent))
         return Record({**record.entries, self._lifetime: entry})
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -1,6 +1,6 @@
 """Keep this router's shares of prepaid totals in the store, and reserve from them."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -9,6 +9,7 @@
 from endivesaddle.fleet.ports import Store, Stored
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import RouteAccount
+from endivesaddle.fleet.routes.following import Contact
 from endivesaddle.fleet.routes.grants import Record, Share, decode, encode
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.sentinels import NOT_RUN, Absent, Conflict, Refusal
@@ -29,6 +30,10 @@
 UNAVAILABLE = 503
 
 
+Borrow = Callable[[str, int], Awaitable[int]]
+"""Ask other routers for tokens of an account; returns how many they gave."""
+
+
 class _Held:
     """A share and what is known of its record."""
 
@@ -61,7 +66,13 @@
     """All shares of one life of a router."""
 
     def __init__(
-        self, store: Store, known: Known, clock: Clock, lifetime: str, routers: Callable[[], int]
+        self,
+        store: Store,
+        known: Known,
+        clock: Clock,
+        lifetime: str,
+        routers: Callable[[], int],
+        contact: Contact,
     ) -> None:
         """Hold shares under ``lifetime``; ``routers`` tells how many share the totals."""
         self._store = store
@@ -69,6 +80,8 @@
         self._clock = clock
         self._lifetime = lifetime
         self._routers = routers
+        self._contact = contact
+        self.borrow: Borrow = _nobody
         self._held: dict[str, _Held] = {}
 
     async def run(self) -> None:
@@ -84,12 +97,20 @@
         held = self._hold(account.name)
         if not held.share.fits(tokens):
             with anyio.move_on_after(WAIT_S):
-                await self._change(held, account.name, tokens)
+                await self._grow(held, account, tokens)
         if held.share.fits(tokens):
             held.share.reserve(tokens)
             return Reservation(held.share, tokens)
         return self._short(account, held, tokens)
 
+    def lend(self, name: str, tokens: int) -> int:
+        """Give another router a part of a share; return the tokens given."""
+        held = self._held.get(name)
+        if held is None or held.lock.locked():
+            # A write under way was worked out with what is here now.
+            return 0
+        return held.share.lend(tokens)
+
     def dump(self) -> dict[str, dict[str, float]]:
         """Return the shares for operators."""
         return {
@@ -110,6 +131,15 @@
         budgeted = [one.name for one in book.accounts.values() if one.total_tokens is not None]
         return all(name in self._held and self._held[name].read for name in budgeted)
 
+    async def _grow(self, held: _Held, account: RouteAccount, tokens: int) -> None:
+        """Make room for a worst case: from the store, else from other routers."""
+        if not self._contact.away:
+            await self._change(held, account.name, tokens)
+        missing = held.share.used + tokens - held.share.granted
+        if missing > 0:
+            async with held.lock:
+                held.share.borrowed(await self.borrow(account.name, missing))
+
     async def _adjust_all(self) -> None:
         book = self._known.book
         if book is None:
@@ -211,3 +241,7 @@
             return Refusal('budget_exhausted', reason, NOT_RUN, PAYMENT_REQUIRED)
         reason = 'the share of the prepaid total that this router holds does not cover the request'
         return Refusal('budget_unreachable', reason, NOT_RUN, UNAVAILABLE, AGAIN_S)
+
+
+async def _nobody(account: str, tokens: int) -> int:
+    return 0
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -0,0 +1,215 @@
+"""Talk with the other routers: loads, facts while the store is away, and lent shares.
+
+One task for each neighbour.  What a neighbour says of the store's contents is
+taken only while the store does not answer here, and only from one that heard
+the store just now, so that nothing old comes in by this way.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import anyio
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.errors import FleetError
+from endivesaddle.fleet.ports import Handlers, Peers, Stored
+from endivesaddle.fleet.routes import events
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routes.following import Contact, Decoder
+from endivesaddle.fleet.routes.keeping import Keeping
+from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.roster import Roster
+from endivesaddle.fleet.routing.dispatcher import Dispatcher
+from endivesaddle.wire import routers_pb2, rpcs
+
+TALK_S = 0.25
+"""Between two talks with one neighbour; loads are at most so much older than a reply."""
+TALKS_PER_S = 20.0
+"""Talks of one router in all: with many routers each neighbour is asked less often."""
+REPLY_S = 0.4
+QUIET_S = 1.0
+"""After a talk that failed; a neighbour that is gone costs one try a second."""
+FRESH_S = 2.5
+"""A neighbour's word on the store's contents is taken if it heard the store this lately."""
+STALE_S = 1.2
+"""A neighbour's loads are forgotten after this."""
+
+
+class NeighbourParts(NamedTuple):
+    """What a router has to tell and to learn."""
+
+    known: Known
+    contact: Contact
+    decoder: Decoder
+    keeping: Keeping
+    dispatcher: Dispatcher
+    roster: Roster
+    seeds: tuple[str, ...]
+
+
+class Neighbours:
+    """This router's talks with all others."""
+
+    def __init__(
+        self, parts: NeighbourParts, peers: Peers, clock: Clock, lifetime: str, address: str
+    ) -> None:
+        """Talk as ``lifetime``, reached at ``address``."""
+        self._parts = parts
+        self._peers = peers
+        self._clock = clock
+        self._lifetime = lifetime
+        self._address = address
+        self._talking: dict[str, anyio.CancelScope] = {}
+        self._lanes: dict[str, tuple[float, tuple[routers_pb2.LaneWord, ...]]] = {}
+
+    def register(self, handlers: Handlers) -> None:
+        """Answer the other routers' calls."""
+        handlers.answer(rpcs.WORD, self._answer)
+        handlers.answer(rpcs.LEND, self._lend)
+
+    async def run(self) -> None:
+        """Talk with each router that is known, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                addresses = self._addresses()
+                for address in addresses - self._talking.keys():
+                    self._talking[address] = anyio.CancelScope()
+                    group.start_soon(self._talk, address)
+                for address in self._talking.keys() - addresses:
+                    self._talking.pop(address).cancel()
+                self._parts.dispatcher.routers = len(self._parts.roster.others) + 1
+                self._sum_up()
+                await anyio.sleep(TALK_S)
+
+    async def borrow(self, account: str, tokens: int) -> int:
+        """Ask the others for a part of their shares; return the tokens that were lent."""
+        lent = 0
+        for address in tuple(self._parts.roster.others.values()):
+            if lent >= tokens:
+                break
+            message = routers_pb2.LendRequest(
+                lifetime=self._lifetime, account=account, tokens=tokens - lent
+            )
+            try:
+                reply = await self._peers.call(
+                    address, rpcs.LEND, message, self._clock.now_s() + REPLY_S
+                )
+            except (FleetError, TimeoutError) as error:
+                events.LENT.log(account=account, tokens=0, other=address, reason=str(error))
+                continue
+            lent += reply.tokens
+            events.LENT.log(account=account, tokens=reply.tokens, other=address, to='here')
+        return lent
+
+    def _addresses(self) -> set[str]:
+        known = set(self._parts.roster.others.values())
+        if not known or self._parts.known.book is None:
+            known |= set(self._parts.seeds)
+        return known - {self._address}
+
+    async def _talk(self, address: str) -> None:
+        with self._talking[address]:
+            while True:
+                try:
+                    reply = await self._peers.call(
+                        address, rpcs.WORD, self._word(), self._clock.now_s() + REPLY_S
+                    )
+                except (FleetError, TimeoutError):
+                    # A neighbour that is gone leaves the roster by its lease; until then
+                    # each failure says no more than the one before.
+                    await anyio.sleep(QUIET_S)
+                    continue
+                self._hear(reply.word)
+                self._learn(reply, address)
+                await anyio.sleep(max(TALK_S, len(self._talking) / TALKS_PER_S))
+
+    def _word(self) -> routers_pb2.Word:
+        parts = self._parts
+        return routers_pb2.Word(
+            lifetime=self._lifetime,
+            address=self._address,
+            version=parts.known.book.version if parts.known.book else 0,
+            store_age_s=parts.contact.age_s,
+            lanes=_lane_words(parts.dispatcher),
+            wants_facts=parts.contact.away or parts.known.book is None,
+        )
+
+    async def _answer(self, asked: routers_pb2.Word) -> routers_pb2.WordReply:
+        self._hear(asked)
+        known = self._parts.known
+        reply = routers_pb2.WordReply(word=self._word())
+        if known.book is not None and asked.version < known.book.version:
+            reply.document = known.document
+        if asked.wants_facts and self._parts.contact.age_s < FRESH_S:
+            reply.servers_told = True
+            reply.servers.extend(_server_word(server) for server in known.servers.values())
+        return reply
+
+    async def _lend(self, asked: routers_pb2.LendRequest) -> routers_pb2.LendReply:
+        tokens = self._parts.keeping.lend(asked.account, asked.tokens)
+        events.LENT.log(account=asked.account, tokens=tokens, other=asked.lifetime, to='other')
+        return routers_pb2.LendReply(tokens=tokens)
+
+    def _hear(self, word: routers_pb2.Word) -> None:
+        self._parts.roster.heard(word.lifetime, word.address)
+        self._lanes[word.lifetime] = (self._clock.now_s(), tuple(word.lanes))
+
+    def _learn(self, reply: routers_pb2.WordReply, address: str) -> None:
+        parts = self._parts
+        if reply.document:
+            self._declare(reply, address)
+        if not reply.servers_told or not parts.contact.away:
+            return
+        before = set(parts.known.servers)
+        parts.known.replace(
+            {server.lifetime: _server(server) for server in reply.servers}, address
+        )
+        if before != set(parts.known.servers):
+            events.FACTS.log(
+                other=address, store_age_s=reply.word.store_age_s, servers=len(reply.servers)
+            )
+
+    def _declare(self, reply: routers_pb2.WordReply, address: str) -> None:
+        stored = Stored(self._parts.decoder.declared_prefix, reply.document, 0)
+        try:
+            declared = self._parts.decoder.declared(stored)
+        except ValueError as error:
+            events.DOCUMENT_BAD.log(key=stored.key, version=reply.word.version, error=str(error))
+            return
+        if declared is not None:
+            self._parts.known.declare(declared, reply.document, address)
+
+    def _sum_up(self) -> None:
+        """Add up what the neighbours have under way at each server."""
+        oldest_unix_s = self._clock.now_s() - STALE_S
+        self._lanes = {
+            name: told for name, told in self._lanes.items() if told[0] >= oldest_unix_s
+        }
+        words = [word for _, lanes in self._lanes.values() for word in lanes]
+        self._parts.dispatcher.lanes.told({
+            server: (
+                sum(word.in_flight for word in words if word.server == server),
+                sum(word.reading_tokens for word in words if word.server == server),
+            )
+            for server in {word.server for word in words}
+        })
+
+
+def _lane_words(dispatcher: Dispatcher) -> Iterable[routers_pb2.LaneWord]:
+    for lane in dispatcher.lanes.all():
+        if lane.own_in_flight:
+            yield routers_pb2.LaneWord(
+                server=lane.server.lifetime,
+                in_flight=lane.own_in_flight,
+                reading_tokens=lane.own_reading_tokens,
+            )
+
+
+def _server_word(server: RouteServer) -> routers_pb2.ServerWord:
+    return routers_pb2.ServerWord(**server._asdict())
+
+
+def _server(word: routers_pb2.ServerWord) -> RouteServer:
+    return RouteServer(
+        word.lifetime, word.service, word.address, word.data_centre, word.slots, word.leaving
+    )
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -58,15 +58,25 @@
         self._failed_share = 0.0
         self._failed_unix_s = 0.0
 
+    @property
+    def own_in_flight(self) -> int:
+        """Requests of this router."""
+        return len(self.reading) + len(self.running)
+
+    @property
+    def own_reading_tokens(self) -> int:
+        """Prompt tokens that this router sent and that are not known to be read."""
+        return sum(self.reading.values())
+
     @property
     def in_flight(self) -> int:
-        """Requests of this router and, as last told, of its peers."""
-        return len(self.reading) + len(self.running) + self.elsewhere
+        """Requests of this router and, as last told, of the others."""
+        return self.own_in_flight + self.elsewhere
 
     @property
     def reading_tokens(self) -> int:
-        """Prompt tokens sent and not known to be read."""
-        return sum(self.reading.values()) + self.elsewhere_reading
+        """Prompt tokens on the way to be read, of all routers as last told."""
+        return self.own_reading_tokens + self.elsewhere_reading
 
     def unread(self, want: ForwardWant, now_unix_s: float) -> int:
         """Return the tokens of a prompt that the server has to read."""
@@ -142,9 +152,14 @@
     def drop_all_but(self, lifetimes: set[str]) -> None:
         """Forget servers that are gone and have nothing under way."""
         for lifetime in set(self._lanes) - lifetimes:
-            if not self._lanes[lifetime].in_flight:
+            if not self._lanes[lifetime].own_in_flight:
                 del self._lanes[lifetime]
 
+    def told(self, loads: dict[str, tuple[int, int]]) -> None:
+        """Take in what other routers have at each server: requests, and tokens to read."""
+        for lifetime, lane in self._lanes.items():
+            lane.elsewhere, lane.elsewhere_reading = loads.get(lifetime, (0, 0))
+
     def all(self) -> tuple[Lane, ...]:
         """Return every lane."""
         return tuple(self._lanes.values())
--- a/packages/instances/src/endivesaddle/instances/settings.py
+++ b/packages/instances/src/endivesaddle/instances/settings.py
@@ -24,6 +24,12 @@
     fleet_key_also: str = settings.option(
         'fleet-key-also', 'second secret that is taken from others, while the key changes', ''
     )
+    link_in_the_open: str = settings.option(
+        'link-in-the-open',
+        'whether a network that admits nobody else makes TLS and the fleet key needless: yes or no',
+        'no',
+        settings.choice('yes', 'no'),
+    )
     link_connect_s: float = settings.option(
         'link-connect-s',
         'seconds that a connection to another instance may take',
--- a/packages/instances/src/endivesaddle/instances/tls.py
+++ b/packages/instances/src/endivesaddle/instances/tls.py
@@ -41,12 +41,16 @@
 
 
 def check_listen(host: str, settings: InstancesSettings) -> None:
-    """Refuse to listen in the open: TLS and a fleet key, or loopback only."""
+    """Refuse to listen in the open: TLS and a fleet key, or loopback only.
+
+    ``link_in_the_open`` is an operator's word that the network admits the fleet alone.
+    """
     try:
         loopback = ipaddress.ip_address(host).is_loopback
     except ValueError:
         raise UserError(f'--listen takes an IP number, not {host!r}') from None
-    if loopback or (settings.tls_certificate and settings.fleet_key):
+    trusted = settings.link_in_the_open == 'yes'
+    if loopback or trusted or (settings.tls_certificate and settings.fleet_key):
         return
     raise UserError(
         f'--listen {host} is not loopback: give --tls-certificate, --tls-key, --tls-ca '
--- a/packages/wire/src/endivesaddle/wire/rpcs.py
+++ b/packages/wire/src/endivesaddle/wire/rpcs.py
@@ -6,7 +6,7 @@
 
 from typing import Generic, NamedTuple, TypeVar
 
-from endivesaddle.wire import holders_pb2, members_pb2, runs_pb2
+from endivesaddle.wire import holders_pb2, members_pb2, routers_pb2, runs_pb2
 
 Asked = TypeVar('Asked')
 Answered = TypeVar('Answered')
@@ -23,6 +23,7 @@
 _HOLDERS = '/endivesaddle.holders.Holders/'
 _RUNS = '/endivesaddle.runs.Runs/'
 _MEMBERS = '/endivesaddle.members.Members/'
+_ROUTERS = '/endivesaddle.routers.Routers/'
 
 CLAIM = Rpc(f'{_HOLDERS}Claim', holders_pb2.ClaimRequest, holders_pb2.ClaimReply)
 ASK = Rpc(f'{_HOLDERS}Ask', holders_pb2.AskRequest, holders_pb2.AskReply)
@@ -47,8 +48,12 @@
 PULL = Rpc(f'{_MEMBERS}Pull', members_pb2.PullRequest, members_pb2.PullReply)
 DUMP = Rpc(f'{_MEMBERS}Dump', members_pb2.DumpRequest, members_pb2.DumpReply)
 
+WORD = Rpc(f'{_ROUTERS}Exchange', routers_pb2.Word, routers_pb2.WordReply)
+LEND = Rpc(f'{_ROUTERS}Lend', routers_pb2.LendRequest, routers_pb2.LendReply)
+
 ALL = (
     CLAIM, ASK, NOTE, SETTLE, COPY, FIND, TRANSFER, SEAL_CLAIMS,
     START, FOLLOW, CANCEL, DRAIN, ORDER, REPORT, SEAL_RUNS,
     BEAT, EXCHANGE, PUSH, PULL, DUMP,
+    WORD, LEND,
 )  # fmt: skip
