Hold shares by use, several accounts under one key, and lend them between routers

Cause: while all routers were cut from the store for 7.5 s, each held a quarter of half of what was not granted, and the one that an account's callers reach ran dry with half of the total free. Ruled out: the store's rates, lost writes. A request cut by its deadline while it hung at a server counts as run.

--- a/packages/fleet/src/endivesaddle/fleet/routes/events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/events.py
@@ -24,3 +24,9 @@
     4609, 'INFO', 'facts_from_router', 'another router told what the store does not tell here'
 )
 LENT = event(1503, 'INFO', 'grant_lent', 'a part of a share went from one router to another')
+GRANT_UNWRITTEN = event(
+    1504, 'INFO', 'grant_unwritten', "a router's shares could not be written; it uses what it has"
+)
+LEND_FAILED = event(
+    1505, 'INFO', 'grant_lend_failed', 'a router asked for a part of its share did not answer'
+)
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -1,36 +1,40 @@
 """Shares of prepaid totals: what one router may spend without asking.
 
-For each account one record in the store holds what every life of a router was
+For each account a record in the store holds what every life of a router was
 granted; the sum never exceeds the total.  A router spends within its grant and
 nothing else, so that no fault can overspend: what a lost router was granted
 counts as spent for good.  How much is granted beyond what is in use decides
 what a store outage refuses, and what a lost router strands.
 """
 
-from collections.abc import Mapping
+from collections import deque
 from typing import NamedTuple
 
 import msgspec
 
-HEADROOM_S = 9.0
+HEADROOM_S = 12.0
 """Seconds of an account's use that a router holds ahead, far from the total.
 
-Store outages last 4 to 9 s; an account whose use stays the same meets none of them."""
+Store outages last 4 to 9 s, and a grant may have shrunk to ``LOW`` of it when one begins;
+an account whose use stays the same meets none of them."""
 STRANDED_SHARE = 0.5
-"""All routers' headroom together is at most this share of what is not granted yet.
+"""One router's headroom is at most this share of what is not granted yet.
 
-When all are killed at once no more than that is lost, and near the total it shrinks
-with what is left."""
+Near the total it shrinks with what is left, so that the last tokens stay reachable for
+all. Divided evenly among routers instead, the one router that an account's callers reach
+ran dry in a 7.5 s outage with half of the total not granted."""
 UNUSED_SHARE = 0.25
-"""Of that, so much is held for an account that has not been used here lately."""
+"""All routers together hold so much of it for an account that none has met lately."""
 SMALL_TOKENS = 256
 """Differences below this are not worth a write."""
-LOW = 0.6
+LOW = 0.65
 """A grant is raised when less than this of the headroom is left, so that writes are few."""
 HIGH = 2.0
 """A grant is lowered when more than this many times the headroom is left."""
-RATE_S = 6.0
-"""Time over which the use of an account is averaged."""
+WINDOW_S = 8.0
+"""The use of an account is its worst cases admitted within this time."""
+LEAST_WINDOW_S = 2.0
+"""Use that has just begun is averaged over this at least."""
 
 
 class Entry(NamedTuple):
@@ -41,7 +45,7 @@
 
 
 class Record(NamedTuple):
-    """The record of one account: entries by lifetime of the router."""
+    """The grants of one account: entries by lifetime of the router."""
 
     entries: dict[str, Entry]
 
@@ -54,20 +58,27 @@
         return sum(entry.spent for entry in self.entries.values())
 
 
-def decode(value: bytes) -> Record:
-    """Read a record; raises ``ValueError`` where it isn't one."""
+Records = dict[str, Record]
+"""The grants of several accounts, by name: one value in the store."""
+
+
+def decode(value: bytes) -> Records:
+    """Read records; raises ``ValueError`` where there are none."""
     try:
-        entries: Mapping[str, tuple[int, int]] = msgspec.json.decode(
-            value, type=dict[str, tuple[int, int]]
+        found: dict[str, dict[str, tuple[int, int]]] = msgspec.json.decode(
+            value, type=dict[str, dict[str, tuple[int, int]]]
         )
     except msgspec.DecodeError as error:
-        raise ValueError(f'not a record of grants: {error}') from error
-    return Record({name: Entry(*pair) for name, pair in entries.items()})
+        raise ValueError(f'not records of grants: {error}') from error
+    return {
+        account: Record({name: Entry(*pair) for name, pair in entries.items()})
+        for account, entries in found.items()
+    }
 
 
-def encode(record: Record) -> bytes:
-    """Write a record."""
-    return msgspec.json.encode(record.entries)
+def encode(records: Records) -> bytes:
+    """Write records."""
+    return msgspec.json.encode({name: record.entries for name, record in records.items()})
 
 
 class Share:
@@ -85,10 +96,10 @@
         self.others = 0
         self.reported = 0
         self.given = 0
-        self.rate_per_s = 0.0
         self._lifetime = lifetime
-        self._seen_unix_s = now_unix_s
-        self._seen_used = 0
+        self._began_unix_s = now_unix_s
+        self._admitted: deque[tuple[float, int]] = deque()
+        self._admitted_tokens = 0
 
     @property
     def used(self) -> int:
@@ -114,25 +125,25 @@
         """Tell whether a worst case fits into what is granted."""
         return self.used + tokens <= self.granted
 
-    def reserve(self, tokens: int) -> None:
+    def reserve(self, tokens: int, now_unix_s: float) -> None:
         """Set a worst case aside."""
         self.reserved += tokens
+        if not self._admitted:
+            self._began_unix_s = now_unix_s
+        self._admitted.append((now_unix_s, tokens))
+        self._admitted_tokens += tokens
 
     def settle(self, reserved: int, spent: int) -> None:
         """End a reservation; never spends more than was reserved."""
         self.reserved -= reserved
         self.spent += min(reserved, spent)
 
-    def observe(self, now_unix_s: float) -> None:
-        """Average how fast the account is used."""
-        passed_s = now_unix_s - self._seen_unix_s
-        if passed_s <= 0:
-            return
-        weight = min(1.0, passed_s / RATE_S)
-        rate_per_s = max(0, self.spent - self._seen_used) / passed_s
-        self.rate_per_s += weight * (rate_per_s - self.rate_per_s)
-        self._seen_unix_s = now_unix_s
-        self._seen_used = self.spent
+    def rate_per_s(self, now_unix_s: float) -> float:
+        """Return the tokens that are admitted in a second, at their worst."""
+        while self._admitted and self._admitted[0][0] < now_unix_s - WINDOW_S:
+            self._admitted_tokens -= self._admitted.popleft()[1]
+        passed_s = min(WINDOW_S, now_unix_s - self._began_unix_s)
+        return self._admitted_tokens / max(LEAST_WINDOW_S, passed_s)
 
     def learn(self, record: Record) -> None:
         """Take in the record as the store has it now."""
@@ -143,28 +154,29 @@
         """Return what of the total is not granted to anybody."""
         return total - self.others - self.granted - self.given
 
-    def headroom(self, total: int, routers: int) -> int:
+    def headroom(self, total: int, routers: int, now_unix_s: float) -> int:
         """Return how much to hold beyond what is in use."""
         spare = max(0, total - self.others - self.given - self.used)
-        most = int(spare * STRANDED_SHARE / max(1, routers))
-        return min(most, max(int(self.rate_per_s * HEADROOM_S), int(UNUSED_SHARE * most)))
+        most = int(spare * STRANDED_SHARE)
+        least = int(spare * UNUSED_SHARE / max(1, routers))
+        ahead = int(self.rate_per_s(now_unix_s) * HEADROOM_S)
+        return min(most, max(ahead, least))
 
-    def wanted(self, total: int, routers: int, tokens: int = 0) -> int:
+    def wanted(self, total: int, headroom: int, tokens: int = 0) -> int:
         """Return the grant to ask for; ``tokens`` more are needed now.
 
         It never leaves the sum of all grants above the total, unless more
         than that has been used already (a total that was lowered).
         """
         most = max(total - self.others - self.given, self.used, -self.given)
-        return min(most, max(-self.given, self.used + tokens + self.headroom(total, routers)))
+        return min(most, max(-self.given, self.used + tokens + headroom))
 
-    def worth_asking(self, total: int, routers: int) -> bool:
+    def worth_asking(self, total: int, headroom: int) -> bool:
         """Tell whether the grant is so far from what is wanted that a write pays."""
-        headroom = self.headroom(total, routers)
         ahead = self.granted - self.used
         if ahead > HIGH * headroom + SMALL_TOKENS:
             return True
-        return ahead < LOW * headroom and self.wanted(total, routers) > self.granted + SMALL_TOKENS
+        return ahead < LOW * headroom and self.wanted(total, headroom) > self.granted + SMALL_TOKENS
 
     def exhausted(self, total: int, tokens: int) -> bool:
         """Tell whether it is certain that the rest of the total doesn't cover a worst case."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -1,50 +1,72 @@
-"""Keep this router's shares of prepaid totals in the store, and reserve from them."""
+"""Keep this router's shares of prepaid totals in the store, and reserve from them.
 
+The records of several accounts lie under one key: one write brings all of a
+router's shares there up to date, so that writes don't grow with the accounts.
+"""
+
+import hashlib
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
-from endivesaddle.fleet.ports import Store, Stored
+from endivesaddle.fleet.ports import Store
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import RouteAccount
 from endivesaddle.fleet.routes.following import Contact
-from endivesaddle.fleet.routes.grants import Record, Share, decode, encode
+from endivesaddle.fleet.routes.grants import Record, Records, Share, decode, encode
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.sentinels import NOT_RUN, Absent, Conflict, Refusal
 
 PREFIX = 'endivesaddle/grants/'
+KEYS = 2
+"""Keys over which the accounts are spread; the same in all routers, for good.
+
+Routers that write one key at once lose to each other; more keys cost more writes."""
 TICK_S = 0.5
-"""Between looks at all shares; with `HEADROOM_S` of 6 s a share is never late by a tick."""
+"""Between looks at all shares; with a headroom of 9 s a share is never late by a tick."""
 CALL_S = 0.6
 """A store call may take so long; slower ones count as lost and are read back."""
 TRIES = 6
-"""Routers that change one record at once each lose to every other one once at most."""
+"""A router that loses to each of the others once gets its turn within these."""
 WAIT_S = 0.4
 """A request waits so long for a share of its account to grow."""
 AGAIN_S = 1.0
-"""A caller that met an unreachable store is told to come back after this."""
+"""A caller whose request found no share is told to come back after this."""
+ASK_AGAIN_S = 0.5
+"""Other routers that had nothing to lend are not asked again for this long."""
+LEND_TIMES = 4
+"""So many times what is missing is asked for: the next requests miss the same."""
 
 PAYMENT_REQUIRED = 402
 UNAVAILABLE = 503
 
-
 Borrow = Callable[[str, int], Awaitable[int]]
 """Ask other routers for tokens of an account; returns how many they gave."""
 
 
-class _Held:
-    """A share and what is known of its record."""
+class _Key:
+    """One key of records as last read or written; version 0 where it does not exist."""
 
-    def __init__(self, share: Share) -> None:
+    def __init__(self, name: str) -> None:
         """Start unread."""
-        self.share = share
+        self.name = name
         self.version = 0
-        self.record = Record({})
-        self.lock = anyio.Lock()
+        self.records: Records = {}
         self.read = False
-        self.sure = True
+        self.lock = anyio.Lock()
+
+
+class _Held:
+    """A share, the key of its record, and when others had nothing to lend."""
+
+    def __init__(self, share: Share, key: _Key) -> None:
+        """Start with nothing granted."""
+        self.share = share
+        self.key = key
+        self.lending = anyio.Lock()
+        self.ask_unix_s = 0.0
 
 
 class Reservation:
@@ -75,19 +97,24 @@
         contact: Contact,
     ) -> None:
         """Hold shares under ``lifetime``; ``routers`` tells how many share the totals."""
+        self.borrow: Borrow = _nobody
         self._store = store
         self._known = known
         self._clock = clock
         self._lifetime = lifetime
         self._routers = routers
         self._contact = contact
-        self.borrow: Borrow = _nobody
+        self._keys = [_Key(f'{PREFIX}{number}') for number in range(KEYS)]
         self._held: dict[str, _Held] = {}
 
     async def run(self) -> None:
         """Adjust the shares until cancelled."""
         while True:
-            await self._adjust_all()
+            self._hold_all()
+            async with anyio.create_task_group() as group:
+                for key in self._keys:
+                    if self._worth_writing(key):
+                        group.start_soon(self._change, key, '', 0)
             await anyio.sleep(TICK_S)
 
     async def reserve(self, account: RouteAccount, tokens: int) -> Reservation | Refusal:
@@ -97,16 +124,16 @@
         held = self._hold(account.name)
         if not held.share.fits(tokens):
             with anyio.move_on_after(WAIT_S):
-                await self._grow(held, account, tokens)
+                await self._grow(held, account.name, tokens)
         if held.share.fits(tokens):
-            held.share.reserve(tokens)
+            held.share.reserve(tokens, self._clock.now_s())
             return Reservation(held.share, tokens)
         return self._short(account, held, tokens)
 
     def lend(self, name: str, tokens: int) -> int:
         """Give another router a part of a share; return the tokens given."""
         held = self._held.get(name)
-        if held is None or held.lock.locked():
+        if held is None or held.key.lock.locked():
             # A write under way was worked out with what is here now.
             return 0
         return held.share.lend(tokens)
@@ -119,111 +146,131 @@
                 'spent_tokens': held.share.spent,
                 'reserved_tokens': held.share.reserved,
                 'others_tokens': held.share.others,
+                'given_tokens': held.share.given,
             }
             for name, held in self._held.items()
         }
 
     def ready(self) -> bool:
-        """Tell whether each account with a total has been read once."""
-        book = self._known.book
-        if book is None:
-            return False
-        budgeted = [one.name for one in book.accounts.values() if one.total_tokens is not None]
-        return all(name in self._held and self._held[name].read for name in budgeted)
-
-    async def _grow(self, held: _Held, account: RouteAccount, tokens: int) -> None:
-        """Make room for a worst case: from the store, else from other routers."""
-        if not self._contact.away:
-            await self._change(held, account.name, tokens)
-        missing = held.share.used + tokens - held.share.granted
-        if missing > 0:
-            async with held.lock:
-                held.share.borrowed(await self.borrow(account.name, missing))
+        """Tell whether the shares of all accounts have been read once."""
+        return self._known.book is not None and all(key.read for key in self._keys)
 
-    async def _adjust_all(self) -> None:
+    def _hold_all(self) -> None:
         book = self._known.book
-        if book is None:
-            return
-        now_unix_s = self._clock.now_s()
-        async with anyio.create_task_group() as group:
-            for account in book.accounts.values():
-                if account.total_tokens is None:
-                    continue
-                held = self._hold(account.name)
-                held.share.observe(now_unix_s)
-                asking = held.share.worth_asking(account.total_tokens, self._routers())
-                if asking or not held.read or not held.sure:
-                    group.start_soon(self._change, held, account.name, 0)
+        for account in book.accounts.values() if book else ():
+            if account.total_tokens is not None:
+                self._hold(account.name)
 
     def _hold(self, name: str) -> _Held:
         held = self._held.get(name)
         if held is None:
-            held = _Held(Share(self._lifetime, self._clock.now_s()))
+            digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
+            key = self._keys[int.from_bytes(digest) % KEYS]
+            share = Share(self._lifetime, self._clock.now_s())
+            share.learn(key.records.get(name, Record({})))
+            held = _Held(share, key)
             self._held[name] = held
         return held
 
+    def _of_key(self, key: _Key) -> list[tuple[str, Share]]:
+        return [(name, held.share) for name, held in self._held.items() if held.key is key]
+
+    def _worth_writing(self, key: _Key) -> bool:
+        if not key.read:
+            return self._known.book is not None
+        return any(
+            share.worth_asking(self._total(name), self._headroom(name, share))
+            for name, share in self._of_key(key)
+        )
+
+    def _headroom(self, name: str, share: Share) -> int:
+        return share.headroom(self._total(name), self._routers(), self._clock.now_s())
+
     def _total(self, name: str) -> int:
         book = self._known.book
         account = book.accounts.get(name) if book else None
         return account.total_tokens or 0 if account else 0
 
-    async def _change(self, held: _Held, name: str, tokens: int) -> None:
-        """Bring the grant to what is wanted; does nothing while the store is away."""
-        async with held.lock:
-            if tokens and held.share.fits(tokens):
+    async def _grow(self, held: _Held, name: str, tokens: int) -> None:
+        """Make room for a worst case: from the store, else from other routers."""
+        if not self._contact.away:
+            await self._change(held.key, name, tokens)
+        async with held.lending:
+            now_unix_s = self._clock.now_s()
+            missing = held.share.used + tokens - held.share.granted
+            if missing <= 0 or now_unix_s < held.ask_unix_s:
+                return
+            lent = await self.borrow(name, missing * LEND_TIMES)
+            held.share.borrowed(lent)
+            if lent < missing:
+                held.ask_unix_s = now_unix_s + ASK_AGAIN_S
+
+    async def _change(self, key: _Key, name: str, tokens: int) -> None:
+        """Bring all grants of a key to what is wanted; nothing while the store is away."""
+        async with key.lock:
+            if tokens and self._held[name].share.fits(tokens):
                 return
             try:
-                await self._settle_on(held, name, tokens)
-            except StoreUnreachable as error:
-                events.GRANT_SHORT.log(account=name, needed_tokens=tokens, reason=str(error))
-            except StoreUnsure as error:
-                held.sure = False
-                events.GRANT_SHORT.log(account=name, needed_tokens=tokens, reason=str(error))
-
-    async def _settle_on(self, held: _Held, name: str, tokens: int) -> None:
+                await self._settle_on(key, name, tokens)
+            except (StoreUnreachable, StoreUnsure) as error:
+                # The fate of a lost write needs no care: the next one is made under the
+                # version that was read, so that only one of the two can ever take effect.
+                key.read = False
+                events.GRANT_UNWRITTEN.log(key=key.name, reason=str(error))
+
+    async def _settle_on(self, key: _Key, name: str, tokens: int) -> None:
         for _ in range(TRIES):
-            if not held.read or not held.sure:
-                await self._read(held, name)
-            wanted = held.share.wanted(self._total(name), self._routers(), tokens)
-            if wanted == held.share.granted and held.sure:
-                return
-            if await self._swap(held, name, wanted):
+            if not key.read:
+                await self._read(key)
+            wanted = {
+                one: share.wanted(
+                    self._total(one), self._headroom(one, share), tokens if one == name else 0
+                )
+                for one, share in self._of_key(key)
+            }
+            changed = any(self._held[one].share.granted != grant for one, grant in wanted.items())
+            if not changed or await self._swap(key, wanted):
                 return
 
-    async def _read(self, held: _Held, name: str) -> None:
-        stored = await self._store.read(PREFIX + name, self._clock.now_s() + CALL_S)
-        self._learn(held, stored)
+    async def _read(self, key: _Key) -> None:
+        stored = await self._store.read(key.name, self._clock.now_s() + CALL_S)
+        value = None if isinstance(stored, Absent) else stored.value
+        version = 0 if isinstance(stored, Absent) else stored.version
+        self._learn(key, version, value)
 
-    def _learn(self, held: _Held, stored: Stored | Absent) -> None:
-        if isinstance(stored, Absent) or stored.value is None:
-            held.version, held.record = 0, Record({})
-        else:
-            held.version, held.record = stored.version, decode(stored.value)
-        held.share.learn(held.record)
-        held.read = True
+    def _learn(self, key: _Key, version: int, value: bytes | None) -> None:
+        key.version = version
+        key.records = decode(value) if value else {}
+        key.read = True
+        for name, share in self._of_key(key):
+            share.learn(key.records.get(name, Record({})))
 
-    async def _swap(self, held: _Held, name: str, wanted: int) -> bool:
-        """Write the grant; False when another router was first.
+    async def _swap(self, key: _Key, wanted: dict[str, int]) -> bool:
+        """Write the grants; False when another router was first.
 
         A grant that shrinks is given up before it is written, one that grows
         is used after the answer: with the answer lost, this router believes
         the less of both, until a later write has taken the record's place.
         """
-        share = held.share
-        record = share.entered(held.record, wanted)
-        share.granted = min(share.granted, wanted)
+        records = dict(key.records)
+        for name, grant in wanted.items():
+            share = self._held[name].share
+            records[name] = share.entered(records.get(name, Record({})), grant)
+            share.granted = min(share.granted, grant)
         written = await self._store.swap(
-            PREFIX + name, encode(record), held.version, self._clock.now_s() + CALL_S
+            key.name, encode(records), key.version, self._clock.now_s() + CALL_S
         )
         if isinstance(written, Conflict):
-            held.read = False
+            if written.value is None:
+                key.read = False
+            else:
+                self._learn(key, written.version, written.value)
             return False
-        events.GRANT.log(
-            account=name, granted_tokens=wanted, version=written.version, others_tokens=share.others
-        )
-        share.granted = wanted
-        held.version, held.record, held.sure = written.version, record, True
-        share.learn(record)
+        key.version, key.records = written.version, records
+        for name, grant in wanted.items():
+            self._held[name].share.granted = grant
+            self._held[name].share.learn(records[name])
+        events.GRANT.log(key=key.name, version=written.version, granted_tokens=wanted)
         return True
 
     def _short(self, account: RouteAccount, held: _Held, tokens: int) -> Refusal:
@@ -234,9 +281,9 @@
             granted_tokens=held.share.granted,
             used_tokens=held.share.used,
             free_tokens=held.share.free(total),
-            reason='share',
+            store_away=self._contact.away,
         )
-        if held.read and held.share.exhausted(total, tokens):
+        if held.key.read and held.share.exhausted(total, tokens):
             reason = f'{tokens} tokens at most do not fit into what is left of the prepaid total'
             return Refusal('budget_exhausted', reason, NOT_RUN, PAYMENT_REQUIRED)
         reason = 'the share of the prepaid total that this router holds does not cover the request'
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -95,10 +95,11 @@
                     address, rpcs.LEND, message, self._clock.now_s() + REPLY_S
                 )
             except (FleetError, TimeoutError) as error:
-                events.LENT.log(account=account, tokens=0, other=address, reason=str(error))
+                events.LEND_FAILED.log(account=account, other=address, reason=str(error))
                 continue
             lent += reply.tokens
-            events.LENT.log(account=account, tokens=reply.tokens, other=address, to='here')
+            if reply.tokens:
+                events.LENT.log(account=account, tokens=reply.tokens, other=address, to='here')
         return lent
 
     def _addresses(self) -> set[str]:
@@ -147,7 +148,8 @@
 
     async def _lend(self, asked: routers_pb2.LendRequest) -> routers_pb2.LendReply:
         tokens = self._parts.keeping.lend(asked.account, asked.tokens)
-        events.LENT.log(account=asked.account, tokens=tokens, other=asked.lifetime, to='other')
+        if tokens:
+            events.LENT.log(account=asked.account, tokens=tokens, other=asked.lifetime, to='other')
         return routers_pb2.LendReply(tokens=tokens)
 
     def _hear(self, word: routers_pb2.Word) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/progress.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/progress.py
@@ -17,10 +17,18 @@
         self._request = request
         self._event_tokens = event_tokens
 
-    def ran(self) -> None:
-        """Note that a server ran it, or may have."""
+    def sent(self) -> None:
+        """Note that it goes to a server: from now on that one may run it."""
         self.runs += 1
 
+    def not_run(self) -> None:
+        """Note that the last server did not get it, or said that it did not run it.
+
+        Failure: counted only when a server had answered, a request that hung until
+        its time was over was told as not run, and its caller ran it twice.
+        """
+        self.runs -= 1
+
     def fresh(self, event: bytes) -> bool:
         """Tell whether the caller lacks an event: a new run may repeat some."""
         number = event_number(event)
--- a/packages/fleet/src/endivesaddle/fleet/routes/roster.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/roster.py
@@ -1,7 +1,7 @@
 """Who else forwards: each router's entry in the store, kept by a lease."""
 
-import msgspec
 import anyio
+import msgspec
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
@@ -9,10 +9,12 @@
 from endivesaddle.fleet.routes import events
 
 PREFIX = 'endivesaddle/routers/'
-LEASE_S = 12
-"""An entry outlives its router by this; longer than the outages of the store that end leases."""
+LEASE_S = 25
+"""An entry outlives its router by this, and an outage of the store of up to 20 s."""
 RENEW_S = 4.0
-"""A third of the lease: two renewals may be lost."""
+"""Between renewals, each with a look for others."""
+HEARD_S = 3.0
+"""A router that talked here so lately is there, whatever the store says."""
 FIRST_LOOKS = 3
 FIRST_LOOK_S = 0.7
 """All routers start at once: soon after the start each looks again for the others."""
@@ -26,6 +28,7 @@
     def __init__(self, store: Store, clock: Clock, lifetime: str, address: str) -> None:
         """Enter ``lifetime`` with the address at which other routers reach it."""
         self.others: dict[str, str] = {}
+        self._heard: dict[str, float] = {}
         self._store = store
         self._clock = clock
         self._lifetime = lifetime
@@ -42,7 +45,6 @@
                 looks += 1
             except (StoreUnreachable, StoreUnsure) as error:
                 # Whoever is known stays known: the other routers are reached without the store.
-                self._lease_id = 0
                 events.ROSTER_LOST.log(reason=str(error), routers=len(self.others))
                 await anyio.sleep(AWAY_S)
                 continue
@@ -51,7 +53,8 @@
     def heard(self, lifetime: str, address: str) -> None:
         """Take in a router that made itself known by a call."""
         if lifetime != self._lifetime:
-            self.others[lifetime] = address
+            self._heard[lifetime] = self._clock.now_s()
+            _enter(self.others, lifetime, address)
 
     async def _keep(self) -> None:
         deadline_unix_s = self._clock.now_s() + CALL_S
@@ -66,12 +69,23 @@
 
     async def _look(self) -> None:
         found = await self._store.list(PREFIX, self._clock.now_s() + CALL_S)
-        others = {
-            entry.key.removeprefix(PREFIX): msgspec.json.decode(entry.value, type=str)
-            for entry in found
-            if entry.value is not None
-        }
+        others: dict[str, str] = {}
+        by_age = sorted(found, key=lambda entry: entry.version)
+        for entry in by_age:
+            if entry.value is not None:
+                _enter(others, entry.key.removeprefix(PREFIX), msgspec.json.decode(entry.value))
+        latest_unix_s = self._clock.now_s() - HEARD_S
+        for lifetime, address in self.others.items():
+            if self._heard.get(lifetime, 0) > latest_unix_s:
+                _enter(others, lifetime, address)
         others.pop(self._lifetime, None)
         if others.keys() != self.others.keys():
             events.ROSTER.log(routers=len(others) + 1)
         self.others = others
+
+
+def _enter(others: dict[str, str], lifetime: str, address: str) -> None:
+    """Enter a life at its address; an address has one life at a time, the newest."""
+    for name in [one for one, other in others.items() if other == address]:
+        del others[name]
+    others[lifetime] = address
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -152,6 +152,7 @@
             in_flight=place.lane.in_flight,
         )
         place.begin()
+        self._progress.sent()
         well = False
         try:
             async with self._runner.links.exchange(call) as answer:
@@ -159,10 +160,10 @@
                 well = outcome in {Outcome.DONE, Outcome.DECLINED}
                 return outcome
         except NeverSent as error:
+            self._progress.not_run()
             place.silent()
             return self._failed(place, Outcome.NOT_SENT, str(error))
         except ServerLost as error:
-            self._progress.ran()
             return self._failed(place, Outcome.LOST, str(error))
         finally:
             place.end(well)
@@ -179,12 +180,13 @@
 
     async def _answered(self, place: Place, answer: ServerAnswer) -> Outcome:
         if answer.misdirected:
+            self._progress.not_run()
             place.misdirected()
             return self._failed(place, Outcome.DECLINED, 'another server has the address')
         if answer.declined:
+            self._progress.not_run()
             place.declined()
             return self._failed(place, Outcome.DECLINED, f'declined with {answer.status}')
-        self._progress.ran()
         if not answer.own:
             return self._failed(place, Outcome.LOST, 'the answer of another request')
         if answer.status in SUCCESSES and not answer.sealed:
--- a/packages/fleet/src/endivesaddle/fleet/sentinels.py
+++ b/packages/fleet/src/endivesaddle/fleet/sentinels.py
@@ -14,10 +14,14 @@
 
 
 class Conflict(NamedTuple):
-    """A compare-and-swap lost against another write."""
+    """A compare-and-swap lost against another write.
+
+    ``value`` is what lies there now, None where the store does not tell.
+    """
 
     reason: str
     version: int
+    value: bytes | None = None
 
 
 class Refusal(NamedTuple):
