--- /dev/null
+++ b/features/steps/shares_steps.py
@@ -0,0 +1,107 @@
+"""Steps of shares.feature."""
+
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+
+from endivesaddle.fleet.sentinels import Refusal
+from subjects.shares import Shares
+
+SEED = 11
+STEP_S = 0.1
+OUTAGE_EVERY = 60
+KILL_EVERY = 97
+LOSE_EVERY = 23
+
+
+@given('{routers:d} routers that share a total of {total:d} tokens')
+def start(context: Any, routers: int, total: int) -> None:
+    """Start them."""
+    context.shares = Shares(routers, total)
+    context.add_cleanup(context.shares.close)
+    context.refused = 0
+    context.most_granted = 0
+
+
+@when('they spend at random for {seconds:d} seconds, with kills, outages and lost answers')
+def spend_at_random(context: Any, seconds: int) -> None:
+    """Spend from a seeded generator; faults come at fixed steps."""
+    random = Random(SEED)
+    shares = context.shares
+    for step in range(int(seconds / STEP_S)):
+        if step % OUTAGE_EVERY == 0:
+            shares.away(step % (2 * OUTAGE_EVERY) != 0)
+        if step % LOSE_EVERY == 0:
+            shares.store.lose_answers = 2
+        if step % KILL_EVERY == KILL_EVERY - 1:
+            shares.kill_all()
+        worst = random.randint(100, 4000)
+        shares.spend(random.randrange(len(shares.names)), random.randint(0, worst), worst)
+        shares.sleep(STEP_S)
+        context.most_granted = max(context.most_granted, shares.granted())
+
+
+@when('router {router:d} spends {tokens:d} tokens {times:d} times a second for {seconds:d} seconds')
+def spend(context: Any, router: int, tokens: int, times: int, seconds: int) -> None:
+    """Spend steadily, and count what is refused."""
+    for _ in range(times * seconds):
+        if not context.shares.spend(router, tokens):
+            context.refused += 1
+        context.shares.sleep(1 / times)
+
+
+@when('the store is away')
+def away(context: Any) -> None:
+    """Take the store away."""
+    context.shares.away(True)
+
+
+@when('the total is raised to {total:d} tokens')
+def raised(context: Any, total: int) -> None:
+    """Raise the total."""
+    context.shares.declare(total)
+
+
+@when('all routers are killed and start anew')
+def kill(context: Any) -> None:
+    """Kill them."""
+    context.shares.kill_all()
+
+
+@then('at most {tokens:d} tokens are spent')
+def at_most(context: Any, tokens: int) -> None:
+    """Compare with what was really spent."""
+    assert context.shares.spent <= tokens, context.shares.spent
+
+
+@then('at least {tokens:d} tokens are spent')
+def at_least(context: Any, tokens: int) -> None:
+    """Compare with what was really spent."""
+    assert context.shares.spent >= tokens, context.shares.spent
+
+
+@then('the store never had more than {tokens:d} tokens granted')
+def never_granted(context: Any, tokens: int) -> None:
+    """Compare with the largest sum that was seen."""
+    assert 0 < context.most_granted <= tokens, context.most_granted
+
+
+@then('no request was refused')
+def none_refused(context: Any) -> None:
+    """Look at the count."""
+    assert context.refused == 0, context.refused
+
+
+@then('the store has seen at most {count:d} writes')
+def writes(context: Any, count: int) -> None:
+    """Look at the stand-in's count."""
+    assert context.shares.writes() <= count, context.shares.writes()
+
+
+@then('the last request was refused as {code}')
+def refused_as(context: Any, code: str) -> None:
+    """Ask once more and look at the answer."""
+    refusal = context.shares.hold(0, 2 * context.shares.total)
+    assert isinstance(refusal, Refusal), refusal
+    assert refusal.code == code, refusal
--- /dev/null
+++ b/features/subjects/shares.py
@@ -0,0 +1,146 @@
+"""Subject: shares of prepaid totals, held by several routers over one store."""
+
+import asyncio
+from typing import Any
+
+import anyio
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.routes.declared import Declared, RouteAccount
+from endivesaddle.fleet.routes.grants import decode
+from endivesaddle.fleet.routes.keeping import KEYS, PREFIX, Keeping, Reservation
+from endivesaddle.fleet.routes.known import Contact, Known
+from endivesaddle.fleet.sentinels import Refusal
+from endivesaddle.stand_ins.memory_store import MemoryStore
+from subjects.links_loop import ScenarioLoop
+
+ACCOUNT = 'ateliers'
+
+
+class Shares:
+    """Routers that share one account; each call runs on one loop in virtual time."""
+
+    def __init__(self, routers: int, total: int) -> None:
+        """Start ``routers`` over an empty store."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self.store = MemoryStore(self._clock)
+        self.total = total
+        self.spent = 0
+        self.version = 0
+        self.names: list[str] = []
+        self.keepings: dict[str, Keeping] = {}
+        self.known: dict[str, Known] = {}
+        self.contacts: dict[str, Contact] = {}
+        self._running: dict[str, anyio.CancelScope] = {}
+        self._tasks: list[asyncio.Future[None]] = []
+        self._loop.run(self._start_all, routers)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def declare(self, total: int) -> None:
+        """Put a new total in force in all routers."""
+        self.total = max(self.total, total)
+        self.version += 1
+        for known in self.known.values():
+            known.declare(self._declared(total), b'', 'test')
+
+    def spend(self, router: int, tokens: int, worst: int = 0) -> bool:
+        """Have a router carry one request; True when it was admitted."""
+        return self._loop.run(self._spend, self.names[router], tokens, worst or tokens)
+
+    def hold(self, router: int, tokens: int) -> Reservation | Refusal:
+        """Reserve and leave it open."""
+        return self._loop.run(self._reserve, self.names[router], tokens)
+
+    def kill_all(self) -> None:
+        """Lose all routers with what they know, and start as many anew."""
+        count = len(self.names)
+        self._loop.run(self._kill)
+        self._loop.run(self._start_all, count)
+
+    def away(self, away: bool) -> None:
+        """Take the store away from all routers, or bring it back."""
+        self._loop.run(self._away, away)
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self._loop.run(anyio.sleep, seconds)
+
+    def granted(self) -> int:
+        """Return the sum of all grants in the store."""
+        keys = [self.store.kept(f'{PREFIX}{number}') for number in range(KEYS)]
+        records = [decode(stored.value) for stored in keys if stored and stored.value]
+        entries = [record[ACCOUNT].entries for record in records if ACCOUNT in record]
+        return sum(entry.granted for one in entries for entry in one.values())
+
+    def writes(self) -> int:
+        """Return how many writes the store has seen."""
+        return self.store.calls['swap']
+
+    async def _away(self, away: bool) -> None:
+        self.store.fail(away)
+        for contact in self.contacts.values():
+            if away:
+                contact.lost('test')
+            else:
+                contact.heard()
+
+    async def _start_all(self, count: int) -> None:
+        self.names = []
+        for _ in range(count):
+            await self._start(f'router-{len(self.keepings)}', count)
+
+    async def _start(self, name: str, count: int) -> None:
+        known = Known()
+        known.declare(self._declared(self.total), b'', 'test')
+        contact = Contact(self._clock)
+        contact.heard()
+        keeping = Keeping(self.store, known, self._clock, name, lambda: count, contact)
+        keeping.borrow = self._lender(name)
+        self.names.append(name)
+        self.keepings[name] = keeping
+        self.known[name] = known
+        self.contacts[name] = contact
+        self._running[name] = anyio.CancelScope()
+        self._loop_task(name, keeping)
+        await anyio.sleep(0.2)
+
+    def _loop_task(self, name: str, keeping: Keeping) -> None:
+        async def run() -> None:
+            with self._running[name]:
+                await keeping.run()
+
+        self._tasks.append(asyncio.ensure_future(run()))
+
+    async def _kill(self) -> None:
+        for name in self.names:
+            self._running[name].cancel()
+        await anyio.sleep(0)
+
+    async def _spend(self, name: str, tokens: int, worst: int) -> bool:
+        reservation = await self._reserve(name, worst)
+        if isinstance(reservation, Refusal):
+            return False
+        reservation.settle(tokens)
+        self.spent += tokens
+        return True
+
+    async def _reserve(self, name: str, tokens: int) -> Reservation | Refusal:
+        account = RouteAccount(ACCOUNT, (), None, self.total)
+        return await self.keepings[name].reserve(account, tokens)
+
+    def _lender(self, name: str) -> Any:
+        async def borrow(account: str, tokens: int) -> int:
+            lent = 0
+            for other in self.names:
+                if other != name and lent < tokens:
+                    lent += self.keepings[other].lend(account, tokens - lent)
+            return lent
+
+        return borrow
+
+    def _declared(self, total: int) -> Declared:
+        return Declared(self.version + 1, (), (), (RouteAccount(ACCOUNT, (), None, total),))
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -17,6 +17,7 @@
 MISDIRECTED = 421
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
+STREAM_BROKEN = (*BROKEN, EventTooLong)
 
 _MS = 1000
 
@@ -50,7 +51,7 @@
             async for chunk in self._response.aiter_stream():
                 for event in splitter.split(chunk):
                     yield event
-        except (*BROKEN, EventTooLong) as error:
+        except STREAM_BROKEN as error:
             raise ServerLost(error_text(error)) from error
         if splitter.waiting:
             raise ServerLost('the stream ended within an event')
--- a/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
@@ -72,12 +72,8 @@
         """
         connection = await self._taken(lifetime, address)
         try:
-            response = await self._sent(connection, address, request)
-            try:
+            async with self._open(connection, address, request) as response:
                 yield response
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await response.aclose()
         finally:
             await self._returned(lifetime, connection)
 
@@ -105,6 +101,17 @@
             socket_options=_SOCKET_OPTIONS,
         )
 
+    @asynccontextmanager
+    async def _open(
+        self, connection: httpcore.AsyncHTTPConnection, address: str, request: Forwarded
+    ) -> AsyncIterator[httpcore.Response]:
+        response = await self._sent(connection, address, request)
+        try:
+            yield response
+        finally:
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
+
     async def _sent(
         self, connection: httpcore.AsyncHTTPConnection, address: str, request: Forwarded
     ) -> httpcore.Response:
--- a/packages/callers/src/endivesaddle/callers/app.py
+++ b/packages/callers/src/endivesaddle/callers/app.py
@@ -105,5 +105,3 @@
         alone=True,
     )
     await exchange.reply(refusal.status, error_body(refusal))
-
-
--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -204,7 +204,11 @@
             events.READINESS.log(ready=ready)
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         await send(
-            {'type': 'http.response.start', 'status': status, 'headers': [(b'content-length', b'0')]}
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [(b'content-length', b'0')],
+            }
         )
         await send({'type': 'http.response.body', 'body': b''})
 
--- /dev/null
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder_settings.py
@@ -0,0 +1,46 @@
+"""Settings of a forwarding router."""
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+
+from endivesaddle.callers.settings import CallersSettings
+from endivesaddle.daemon.settings import LogSettings
+from endivesaddle.fleet import settings as options
+from endivesaddle.fleet.routing.forward_settings import ForwardSettings
+from endivesaddle.instances.settings import InstancesSettings
+
+
+@dataclasses.dataclass(frozen=True)
+class PlaceSettings:
+    """Who a forwarding router is and where it listens."""
+
+    instance: str = options.option('instance', 'name of this instance, unique')
+    lifetime: str = options.option('lifetime', 'name of this life of the instance, never reused')
+    http_listen: str = options.option(
+        'http-listen', 'ip:port for callers', '127.0.0.1:0', options.address
+    )
+    ready_listen: str = options.option(
+        'ready-listen', "ip:port for the platform's health checks", '127.0.0.1:0', options.address
+    )
+    listen: str = options.option(
+        'listen', 'ip:port for the other routers', '127.0.0.1:0', options.address
+    )
+    seeds: tuple[str, ...] = options.option(
+        'seeds', 'ip:port of other routers, where the store does not tell', (), options.names
+    )
+    stop_within_s: float = options.option(
+        'stop-within-s', 'seconds that a graceful stop may take', 8.0, options.number(1, 86400)
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwarderSettings:
+    """All settings of a forwarding router."""
+
+    place: Annotated[PlaceSettings, cappa.Arg.destructured()]
+    logs: Annotated[LogSettings, cappa.Arg.destructured()] = LogSettings()
+    http: Annotated[CallersSettings, cappa.Arg.destructured()] = CallersSettings()
+    links: Annotated[InstancesSettings, cappa.Arg.destructured()] = InstancesSettings()
+    forward: Annotated[ForwardSettings, cappa.Arg.destructured()] = ForwardSettings()
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -15,7 +15,7 @@
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
-from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.sentinels import Absent
 
 POLL_S = 1.3
@@ -73,36 +73,6 @@
         """Return the lifetime that a server's key names."""
 
 
-class Contact:
-    """When the store was last heard, and whether it is away."""
-
-    def __init__(self, clock: Clock) -> None:
-        """Start without contact."""
-        self.heard_unix_s = 0.0
-        self.regained_unix_s = 0.0
-        self.away = False
-        self._clock = clock
-
-    def heard(self) -> None:
-        """Note an answer."""
-        self.heard_unix_s = self._clock.now_s()
-        if self.away:
-            self.away = False
-            self.regained_unix_s = self.heard_unix_s
-            events.STORE_BACK.log()
-
-    def lost(self, reason: str) -> None:
-        """Note a call without an answer."""
-        if not self.away:
-            self.away = True
-            events.STORE_LOST.log(reason=reason, heard_unix_s=self.heard_unix_s)
-
-    @property
-    def age_s(self) -> float:
-        """Seconds since the store last answered."""
-        return self._clock.now_s() - self.heard_unix_s
-
-
 class Follower:
     """Keep ``known`` up to date from the store."""
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -25,6 +25,8 @@
 ran dry in a 7.5 s outage with half of the total not granted."""
 UNUSED_SHARE = 0.25
 """All routers together hold so much of it for an account that none has met lately."""
+KEPT_BACK_S = 2.0
+"""A lender keeps so much of its own use: two routers that are short don't lend in circles."""
 SMALL_TOKENS = 256
 """Differences below this are not worth a write."""
 LOW = 0.65
@@ -106,12 +108,13 @@
         """Tokens spent or reserved at their worst."""
         return self.spent + self.reserved
 
-    def lend(self, tokens: int) -> int:
-        """Give another router a part of what is not in use; return how much.
+    def lend(self, tokens: int, now_unix_s: float) -> int:
+        """Give another router what is not in use nor needed soon; return how much.
 
         The store goes on counting it under this router, which never uses it again.
         """
-        lent = max(0, min(tokens, (self.granted - self.used) // 2))
+        kept = int(KEPT_BACK_S * self.rate_per_s(now_unix_s))
+        lent = max(0, min(tokens, self.granted - self.used - kept))
         self.granted -= lent
         self.given += lent
         return lent
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -14,9 +14,8 @@
 from endivesaddle.fleet.ports import Store
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import RouteAccount
-from endivesaddle.fleet.routes.following import Contact
 from endivesaddle.fleet.routes.grants import Record, Records, Share, decode, encode
-from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.sentinels import NOT_RUN, Absent, Conflict, Refusal
 
 PREFIX = 'endivesaddle/grants/'
@@ -35,7 +34,7 @@
 AGAIN_S = 1.0
 """A caller whose request found no share is told to come back after this."""
 ASK_AGAIN_S = 0.5
-"""Other routers that had nothing to lend are not asked again for this long."""
+"""Neither the store nor other routers are asked for the last tokens more often than this."""
 LEND_TIMES = 4
 """So many times what is missing is asked for: the next requests miss the same."""
 
@@ -55,6 +54,7 @@
         self.version = 0
         self.records: Records = {}
         self.read = False
+        self.learnt_unix_s = 0.0
         self.lock = anyio.Lock()
 
 
@@ -111,10 +111,7 @@
         """Adjust the shares until cancelled."""
         while True:
             self._hold_all()
-            async with anyio.create_task_group() as group:
-                for key in self._keys:
-                    if self._worth_writing(key):
-                        group.start_soon(self._change, key, '', 0)
+            await self._write_all()
             await anyio.sleep(TICK_S)
 
     async def reserve(self, account: RouteAccount, tokens: int) -> Reservation | Refusal:
@@ -136,7 +133,7 @@
         if held is None or held.key.lock.locked():
             # A write under way was worked out with what is here now.
             return 0
-        return held.share.lend(tokens)
+        return held.share.lend(tokens, self._clock.now_s())
 
     def dump(self) -> dict[str, dict[str, float]]:
         """Return the shares for operators."""
@@ -155,6 +152,12 @@
         """Tell whether the shares of all accounts have been read once."""
         return self._known.book is not None and all(key.read for key in self._keys)
 
+    async def _write_all(self) -> None:
+        async with anyio.create_task_group() as group:
+            for key in self._keys:
+                if self._worth_writing(key):
+                    group.start_soon(self._change, key, '', 0)
+
     def _hold_all(self) -> None:
         book = self._known.book
         for account in book.accounts.values() if book else ():
@@ -210,6 +213,9 @@
         async with key.lock:
             if tokens and self._held[name].share.fits(tokens):
                 return
+            if tokens and self._clock.now_s() - key.learnt_unix_s > ASK_AGAIN_S:
+                # Others may have given back since: near the total that is all there is.
+                key.read = False
             try:
                 await self._settle_on(key, name, tokens)
             except (StoreUnreachable, StoreUnsure) as error:
@@ -242,6 +248,7 @@
         key.version = version
         key.records = decode(value) if value else {}
         key.read = True
+        key.learnt_unix_s = self._clock.now_s()
         for name, share in self._of_key(key):
             share.learn(key.records.get(name, Record({})))
 
@@ -266,7 +273,8 @@
             else:
                 self._learn(key, written.version, written.value)
             return False
-        key.version, key.records = written.version, records
+        key.version = written.version
+        key.records = records
         for name, grant in wanted.items():
             self._held[name].share.granted = grant
             self._held[name].share.learn(records[name])
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.book import RouteBook
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
@@ -75,3 +76,33 @@
         self._by_service = {name: tuple(members) for name, members in grouped.items()}
         for listener in self.listeners:
             listener()
+
+
+class Contact:
+    """When the store was last heard, and whether it is away."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without contact."""
+        self.heard_unix_s = 0.0
+        self.regained_unix_s = 0.0
+        self.away = False
+        self._clock = clock
+
+    def heard(self) -> None:
+        """Note an answer."""
+        self.heard_unix_s = self._clock.now_s()
+        if self.away:
+            self.away = False
+            self.regained_unix_s = self.heard_unix_s
+            events.STORE_BACK.log()
+
+    def lost(self, reason: str) -> None:
+        """Note a call without an answer."""
+        if not self.away:
+            self.away = True
+            events.STORE_LOST.log(reason=reason, heard_unix_s=self.heard_unix_s)
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store last answered."""
+        return self._clock.now_s() - self.heard_unix_s
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -15,9 +15,9 @@
 from endivesaddle.fleet.ports import Handlers, Peers, Stored
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import RouteServer
-from endivesaddle.fleet.routes.following import Contact, Decoder
+from endivesaddle.fleet.routes.following import Decoder
 from endivesaddle.fleet.routes.keeping import Keeping
-from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.routes.roster import Roster
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.wire import routers_pb2, rpcs
@@ -40,10 +40,10 @@
 
     known: Known
     contact: Contact
-    decoder: Decoder
-    keeping: Keeping
     dispatcher: Dispatcher
+    keeping: Keeping
     roster: Roster
+    decoder: Decoder
     seeds: tuple[str, ...]
 
 
@@ -163,9 +163,7 @@
         if not reply.servers_told or not parts.contact.away:
             return
         before = set(parts.known.servers)
-        parts.known.replace(
-            {server.lifetime: _server(server) for server in reply.servers}, address
-        )
+        parts.known.replace({server.lifetime: _server(server) for server in reply.servers}, address)
         if before != set(parts.known.servers):
             events.FACTS.log(
                 other=address, store_age_s=reply.word.store_age_s, servers=len(reply.servers)
@@ -184,17 +182,17 @@
     def _sum_up(self) -> None:
         """Add up what the neighbours have under way at each server."""
         oldest_unix_s = self._clock.now_s() - STALE_S
-        self._lanes = {
-            name: told for name, told in self._lanes.items() if told[0] >= oldest_unix_s
-        }
+        self._lanes = {name: told for name, told in self._lanes.items() if told[0] >= oldest_unix_s}
         words = [word for _, lanes in self._lanes.values() for word in lanes]
-        self._parts.dispatcher.lanes.told({
-            server: (
-                sum(word.in_flight for word in words if word.server == server),
-                sum(word.reading_tokens for word in words if word.server == server),
-            )
-            for server in {word.server for word in words}
-        })
+        self._parts.dispatcher.lanes.told(
+            {
+                server: (
+                    sum(word.in_flight for word in words if word.server == server),
+                    sum(word.reading_tokens for word in words if word.server == server),
+                )
+                for server in {word.server for word in words}
+            }
+        )
 
 
 def _lane_words(dispatcher: Dispatcher) -> Iterable[routers_pb2.LaneWord]:
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -91,16 +91,15 @@
             )
 
     async def _refuse(self, request: ForwardRequest, sink: Sink, refusal: Refusal) -> None:
-        events.REFUSED.log(
-            request_id=request.request_id, code=refusal.code, reason=refusal.reason
-        )
+        events.REFUSED.log(request_id=request.request_id, code=refusal.code, reason=refusal.reason)
         await sink.refuse(refusal)
 
     async def _bounded(self, carrying: '_Carrying') -> None:
         left_s = carrying.request.end_unix_s + GRACE_S - self.clock.now_s()
-        with anyio.move_on_after(max(0, left_s)) as scope:
+        limit = anyio.move_on_after(max(0, left_s))
+        with limit:
             await carrying.run()
-        if scope.cancelled_caught:
+        if limit.cancelled_caught:
             await carrying.timed_out()
 
 
@@ -135,9 +134,8 @@
         if self._progress.started:
             self._log_broken('the time is over')
             return
-        not_run = NOT_RUN if not self._progress.runs else RUN_UNKNOWN
-        status = UNAVAILABLE if not self._progress.runs else GATEWAY_TIMEOUT
-        await self._refuse(Refusal('deadline', 'the time is over', not_run, status))
+        told = (RUN_UNKNOWN, GATEWAY_TIMEOUT) if self._progress.runs else (NOT_RUN, UNAVAILABLE)
+        await self._refuse(Refusal('deadline', 'the time is over', *told))
 
     async def _send(self, place: Place) -> Outcome:
         """Send it to one server and pass on what comes."""
@@ -229,19 +227,18 @@
     async def _again(self, outcome: Outcome) -> bool:
         """Tell whether to send it again; else give the final answer at once."""
         reason = self._why_not_again(outcome)
-        if not reason:
-            events.SENT_AGAIN.log(
-                request_id=self.request.request_id,
-                outcome=outcome.value,
-                runs=self._progress.runs,
-                last_event=self._progress.last_event,
-            )
-            return True
-        events.NOT_SENT_AGAIN.log(
-            request_id=self.request.request_id, outcome=outcome.value, reason=reason
+        request_id = self.request.request_id
+        if reason:
+            events.NOT_SENT_AGAIN.log(request_id=request_id, outcome=outcome.value, reason=reason)
+            await self._give_up(self._runner.dispatcher.full(self.request, reason))
+            return False
+        events.SENT_AGAIN.log(
+            request_id=request_id,
+            outcome=outcome.value,
+            runs=self._progress.runs,
+            last_event=self._progress.last_event,
         )
-        await self._give_up(self._runner.dispatcher.full(self.request, reason))
-        return False
+        return True
 
     def _why_not_again(self, outcome: Outcome) -> str:
         request = self.request
@@ -259,7 +256,7 @@
         """Give the final answer: what a server said, what is known, or when to come back."""
         if self._progress.started:
             self._log_broken(refusal.reason)
-        elif self._kept is not None:
+        elif self._kept:
             await self._pass_on(self._kept)
         elif self._progress.runs:
             known = HAS_RUN if self._progress.events else RUN_UNKNOWN
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -77,9 +77,7 @@
         """Return the time now, in Unix seconds."""
         return self._clock.now_s()
 
-    async def place(
-        self, request: ForwardRequest, exclude: frozenset[str]
-    ) -> Place | Refusal:
+    async def place(self, request: ForwardRequest, exclude: frozenset[str]) -> Place | Refusal:
         """Choose a server for a request, not one that it was sent to already."""
         service = self._service(request)
         want = request.want(service)
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
@@ -12,7 +12,7 @@
 
     forward_policy: str = settings.option(
         'forward-policy',
-        'how requests are placed on engines: ' + ', '.join(placing_policies),
+        f'how requests are placed on engines: {", ".join(placing_policies)}',
         'earliest_first_event',
         settings.choice(*placing_policies),
     )
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -117,7 +117,9 @@
         if well:
             self._silences = 0
         self._failed_share = self.failed_share(now_unix_s)
-        self._failed_share += FAILED_WEIGHT * ((0.0 if well else 1.0) - self._failed_share)
+        self._failed_share *= 1 - FAILED_WEIGHT
+        if not well:
+            self._failed_share += FAILED_WEIGHT
         self._failed_unix_s = now_unix_s
 
     def silent(self, now_unix_s: float) -> None:
@@ -158,7 +160,9 @@
     def told(self, loads: dict[str, tuple[int, int]]) -> None:
         """Take in what other routers have at each server: requests, and tokens to read."""
         for lifetime, lane in self._lanes.items():
-            lane.elsewhere, lane.elsewhere_reading = loads.get(lifetime, (0, 0))
+            requests, tokens = loads.get(lifetime, (0, 0))
+            lane.elsewhere = requests
+            lane.elsewhere_reading = tokens
 
     def all(self) -> tuple[Lane, ...]:
         """Return every lane."""
--- a/packages/stand_ins/src/endivesaddle/stand_ins/memory_store.py
+++ b/packages/stand_ins/src/endivesaddle/stand_ins/memory_store.py
@@ -11,6 +11,7 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
 from endivesaddle.fleet.ports import Stored
+from endivesaddle.fleet.routes.following import Changes
 from endivesaddle.fleet.sentinels import Absent, Conflict
 
 
@@ -26,6 +27,7 @@
         self._lease_keys: dict[int, set[str]] = {}
         self._log: list[Stored] = []
         self._changed = anyio.Event()
+        self._forgotten_version = 0
         self.down = False
         self.delay_s = 0.001
         self.lose_answers = 0
@@ -97,6 +99,41 @@
                     yield stored
             await self._changed.wait()
 
+    async def scan(self, prefix: str, deadline_unix_s: float) -> Changes:
+        """Return all that lies under a prefix, and the version from which to follow."""
+        return Changes(await self.list(prefix, deadline_unix_s), self._version)
+
+    async def poll(
+        self, prefix: str, after_version: int, wait_s: float, deadline_unix_s: float
+    ) -> Changes | Absent:
+        """Return what changed, waiting for it; Absent where that history is dropped."""
+        await self._call('watch', deadline_unix_s)
+        with anyio.move_on_after(wait_s):
+            while not self._since(prefix, after_version) and not self.down:
+                await self._changed.wait()
+        if self.down:
+            raise StoreUnreachable('the store is down')
+        if after_version < self._forgotten_version:
+            return Absent('the history is dropped')
+        return Changes(self._since(prefix, after_version), self._version)
+
+    def forget(self) -> None:
+        """Drop the history: who polls from an earlier version is told so."""
+        self._forgotten_version = self._version
+        self._log.clear()
+        self._wake()
+
+    def remove(self, key: str) -> None:
+        """Delete a key, past all faults."""
+        self._version += 1
+        self._kept.pop(key, None)
+        self._log.append(Stored(key, None, self._version))
+        self._wake()
+
+    def put(self, key: str, value: bytes) -> Stored:
+        """Write a key without a condition, past all faults."""
+        return self._put(key, value)
+
     def kept(self, key: str) -> Stored | None:
         """Return what a key holds, past all faults and without counting a call."""
         return self._kept.get(key)
@@ -117,6 +154,11 @@
                     self._log.append(Stored(key, None, self._version))
         self._wake()
 
+    def _since(self, prefix: str, version: int) -> Sequence[Stored]:
+        return [
+            entry for entry in self._log if entry.version > version and entry.key.startswith(prefix)
+        ]
+
     def _alive(self, lease_id: int) -> bool:
         expires_unix_s, _ = self._leases.get(lease_id, (0, 0))
         return expires_unix_s > self._clock.now_s()
