--- /dev/null
+++ b/features/steps/forward_runs_steps.py
@@ -0,0 +1,106 @@
+"""Steps of forward_runs.feature."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from subjects.forward_runs import ForwardRuns
+
+SLACK_S = 0.1
+
+
+@given('a {kind} route with {attempts:d} attempts, whose servers {script}')
+def start(context: Any, kind: str, attempts: int, script: str) -> None:
+    """Start a router."""
+    context.runs = ForwardRuns(kind, attempts, script.split(','))
+    context.add_cleanup(context.runs.close)
+
+
+@when('a request is forwarded')
+def forward(context: Any) -> None:
+    """Carry one."""
+    context.runs.request()
+
+
+@when('a request is forwarded whose caller leaves')
+def forward_and_leave(context: Any) -> None:
+    """Carry one for a while."""
+    context.runs.leave()
+
+
+@then('the caller got {status:d}')
+def got(context: Any, status: int) -> None:
+    """Look at the status."""
+    assert context.runs.sink.status == status, context.runs.sink.status
+    assert context.runs.sink.finished
+
+
+@then('the request ran {times:d} times')
+def ran(context: Any, times: int) -> None:
+    """Count the runs at the servers."""
+    assert context.runs.links.ran == times, context.runs.links.ran
+
+
+@then('it was sent {times:d} times')
+def sent(context: Any, times: int) -> None:
+    """Count the sendings, each to another server."""
+    names = [call.server.lifetime for call in context.runs.links.calls]
+    assert len(names) == times, names
+    assert len(set(names)) == times, names
+
+
+@then('the caller is told when to come back')
+def told(context: Any) -> None:
+    """Look at the refusal."""
+    refusal = context.runs.sink.refusal
+    assert refusal.not_run == 'true', refusal
+    assert 0 < refusal.retry_after_s < 2, refusal
+
+
+@then('nothing was spent')
+def nothing_spent(context: Any) -> None:
+    """Look at the share."""
+    assert context.runs.spent() == 0, context.runs.spent()
+    assert context.runs.reserved() == 0, context.runs.reserved()
+
+
+@then('nothing is set aside')
+def nothing_reserved(context: Any) -> None:
+    """Look at the share."""
+    assert context.runs.reserved() == 0, context.runs.reserved()
+
+
+@then('the caller got the events up to {last:d}, each once')
+def events(context: Any, last: int) -> None:
+    """Look at the numbers."""
+    assert context.runs.numbers() == list(range(last + 1)), context.runs.numbers()
+
+
+@then('the answer was whole')
+def whole(context: Any) -> None:
+    """Look for the end."""
+    assert context.runs.sink.finished
+
+
+@then('the answer was cut')
+def cut(context: Any) -> None:
+    """Look for the end."""
+    assert not context.runs.sink.finished
+
+
+@then('the account spent {tokens:d} tokens')
+def spent(context: Any, tokens: int) -> None:
+    """Look at the share."""
+    assert context.runs.spent() == tokens, context.runs.spent()
+
+
+@then('the account spent at most {tokens:d} tokens')
+def spent_at_most(context: Any, tokens: int) -> None:
+    """Look at the share."""
+    assert 1000 < context.runs.spent() < tokens, context.runs.spent()
+
+
+@then('the answer came after {after_ms:d} ms')
+def after(context: Any, after_ms: int) -> None:
+    """Look at the time."""
+    assert 0 <= context.runs.took_s - after_ms / 1000 < SLACK_S, context.runs.took_s
--- /dev/null
+++ b/features/subjects/forward_runs.py
@@ -0,0 +1,287 @@
+"""Subject: one router's forwarded requests, with servers that do as the scenario says."""
+
+import math
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.routes.declared import (
+    Declared,
+    Repeat,
+    Route,
+    RouteAccount,
+    RouteServer,
+    Service,
+    Target,
+)
+from endivesaddle.fleet.routes.forwarded import ForwardRequest, Pairs, ServerCall
+from endivesaddle.fleet.routes.keeping import Keeping
+from endivesaddle.fleet.routes.known import Contact, Known
+from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.fleet.routing.dispatcher import Dispatcher
+from endivesaddle.fleet.routing.forward_settings import ForwardSettings
+from endivesaddle.fleet.seams import NeverSent, ServerLost
+from endivesaddle.fleet.sentinels import Refusal
+from endivesaddle.stand_ins.memory_store import MemoryStore
+from subjects.links_loop import ScenarioLoop
+
+ACCOUNT = 'ateliers'
+TOTAL = 1_000_000
+PROMPT_TOKENS = 1000
+MAX_TOKENS = 100
+EVENT_TOKENS = 5
+EVENTS = 6
+KINDS = {
+    'safe': (Repeat.SAFE, False),
+    'unsafe': (Repeat.UNSAFE, False),
+    'streamed': (Repeat.STREAMED, False),
+    'resumable': (Repeat.STREAMED, True),
+}
+SEAL = (('seal', 'server'),)
+
+
+class ScriptedAnswer:
+    """An answer whose events break off where the scenario says."""
+
+    def __init__(self, call: ServerCall, status: int = 200, breaks_after: float = math.inf) -> None:
+        """Answer ``call``; the stream goes on from its last event."""
+        self.status = status
+        self.headers: Pairs = SEAL
+        self.own = True
+        self.sealed = True
+        self.declined = False
+        self.misdirected = False
+        self._from = call.last_event + 1
+        self._breaks_after = breaks_after
+
+    async def events(self) -> AsyncIterator[bytes]:
+        """Yield numbered events."""
+        for count, number in enumerate(range(max(0, self._from), EVENTS)):
+            if count >= self._breaks_after:
+                raise ServerLost('it broke off')
+            await anyio.sleep(0.01)
+            yield f'id: {number}\ndata: x\n\n'.encode()
+
+    async def whole(self) -> bytes:
+        """Return a body."""
+        if self._breaks_after < math.inf:
+            raise ServerLost('it broke off')
+        return b'body'
+
+
+Behaviour = Callable[[ServerCall], ScriptedAnswer]
+
+
+def answers(call: ServerCall) -> ScriptedAnswer:
+    """Answer whole."""
+    return ScriptedAnswer(call)
+
+
+def fails(call: ServerCall) -> ScriptedAnswer:
+    """Run it, and answer that it failed."""
+    return ScriptedAnswer(call, status=500)
+
+
+def promises(call: ServerCall) -> ScriptedAnswer:
+    """Run it, and answer with a status that says it did not run."""
+    return ScriptedAnswer(call, status=503)
+
+
+def breaks(call: ServerCall) -> ScriptedAnswer:
+    """Break off after two events, or within a whole body."""
+    return ScriptedAnswer(call, breaks_after=2)
+
+
+def declines(call: ServerCall) -> ScriptedAnswer:
+    """Say that it did not run."""
+    answer = ScriptedAnswer(call, status=503)
+    answer.declined = True
+    return answer
+
+
+def moved(call: ServerCall) -> ScriptedAnswer:
+    """Have the address of a server that is gone."""
+    answer = ScriptedAnswer(call, status=421)
+    answer.misdirected = True
+    return answer
+
+
+def strays(call: ServerCall) -> ScriptedAnswer:
+    """Answer with what belongs to another request."""
+    answer = ScriptedAnswer(call)
+    answer.own = False
+    return answer
+
+
+def unsealed(call: ServerCall) -> ScriptedAnswer:
+    """Answer with a success that the server does not vouch for."""
+    answer = ScriptedAnswer(call)
+    answer.sealed = False
+    return answer
+
+
+def unreached(call: ServerCall) -> ScriptedAnswer:
+    """Refuse the connection."""
+    raise NeverSent('refused')
+
+
+def lost(call: ServerCall) -> ScriptedAnswer:
+    """Lose the answer."""
+    raise ServerLost('no answer')
+
+
+class ScriptedLinks:
+    """Servers in the order in which they are met."""
+
+    def __init__(self, script: list[str]) -> None:
+        """Take the names of behaviours; the last one goes on for ever."""
+        self.calls: list[ServerCall] = []
+        self.ran = 0
+        self._script = script
+
+    @asynccontextmanager
+    async def exchange(self, call: ServerCall) -> AsyncIterator[ScriptedAnswer]:
+        """Behave as the script says for this sending."""
+        name = self._script[min(len(self.calls), len(self._script) - 1)]
+        self.calls.append(call)
+        if name not in {'declines', 'moved', 'unreached'}:
+            self.ran += 1
+        await anyio.sleep(0.001)
+        if name == 'hangs':
+            await anyio.sleep_forever()
+        behaviour: Behaviour = globals()[name]
+        yield behaviour(call)
+
+
+class RecordingSink:
+    """What the caller gets."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.status = 0
+        self.body = b''
+        self.finished = False
+        self.refusal: Refusal | None = None
+
+    async def start(self, status: int, headers: Pairs) -> None:
+        """Take the head of a stream."""
+        assert not self.status, 'two heads'
+        self.status = status
+
+    async def write(self, data: bytes) -> None:
+        """Take a part."""
+        self.body += data
+
+    async def finish(self) -> None:
+        """Take the end."""
+        self.finished = True
+
+    async def reply(self, status: int, headers: Pairs, body: bytes) -> None:
+        """Take a whole answer."""
+        assert not self.status, 'two heads'
+        self.status = status
+        self.body = body
+        self.finished = True
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Take an answer of the router's own."""
+        assert not self.status, 'two heads'
+        self.status = refusal.status
+        self.refusal = refusal
+        self.finished = True
+
+
+class ForwardRuns:
+    """A router with three servers of one service."""
+
+    def __init__(self, kind: str, attempts: int, script: list[str]) -> None:
+        """Declare a route of ``kind``."""
+        repeat, resumable = KINDS[kind]
+        self.route = Route(
+            'boards',
+            'host',
+            '/b/',
+            repeat,
+            4000,
+            500,
+            1,
+            (Target('engines', 1),),
+            attempts,
+            resumable=resumable,
+        )
+        self.account = RouteAccount(ACCOUNT, ('key',), None, TOTAL)
+        self.links = ScriptedLinks(script)
+        self.sink = RecordingSink()
+        self.took_s = 0.0
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._known = Known()
+        self._loop.run(self._declare)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def request(self) -> None:
+        """Carry one request to its end."""
+        self._loop.run(self._request)
+
+    def leave(self) -> None:
+        """Carry one request whose caller leaves after 50 ms."""
+        self._loop.run(self._leave)
+
+    def spent(self) -> float:
+        """Return the tokens that the account spent."""
+        return self.keeping.dump()[ACCOUNT]['spent_tokens']
+
+    def reserved(self) -> float:
+        """Return the tokens that are still set aside."""
+        return self.keeping.dump()[ACCOUNT]['reserved_tokens']
+
+    def numbers(self) -> list[int]:
+        """Return the numbers of the events that the caller got."""
+        lines = [line for line in self.sink.body.splitlines() if line.startswith(b'id:')]
+        return [int(line[3:]) for line in lines]
+
+    async def _declare(self) -> None:
+        services = (Service('engines', 100, EVENT_TOKENS),)
+        declared = Declared(1, (self.route,), services, (self.account,))
+        self._known.declare(declared, b'', 'test')
+        for number in range(3):
+            name = f'life-{number}'
+            self._known.server(RouteServer(name, 'engines', f'{name}:1', 'a', 4), 'test')
+        contact = Contact(self._clock)
+        contact.heard()
+        store = MemoryStore(self._clock)
+        self.keeping = Keeping(store, self._known, self._clock, 'one', lambda: 1, contact)
+        dispatcher = Dispatcher(ForwardSettings(), self._known, self._clock, 'one')
+        self.runner = Runner(dispatcher, self.keeping, self.links, self._clock)
+
+    async def _request(self) -> None:
+        began_unix_s = self._clock.now_s()
+        await self.runner.serve(self._made(began_unix_s), self.sink)
+        self.took_s = self._clock.now_s() - began_unix_s
+
+    async def _leave(self) -> None:
+        with anyio.move_on_after(0.05):
+            await self._request()
+
+    def _made(self, began_unix_s: float) -> ForwardRequest:
+        return ForwardRequest(
+            request_id='one',
+            route=self.route,
+            account=self.account,
+            method='POST',
+            target='/b/x',
+            headers=(),
+            body=b'',
+            deadline_unix_s=began_unix_s + 10,
+            end_unix_s=began_unix_s + self.route.timeout_ms / 1000,
+            prompt_tokens=PROMPT_TOKENS,
+            max_tokens=MAX_TOKENS,
+            parts=(),
+            last_event=-1,
+            began_unix_s=began_unix_s,
+        )
