--- a/features/shares.feature
+++ b/features/shares.feature
@@ -51,6 +51,15 @@
     Then at least 180000 tokens are spent
     And at most 300000 tokens are spent
 
+  Scenario: A graceful stop strands nothing
+    All routers are stopped in turn, as for a release, again and again.  Each gives back its
+    headroom; their callers find the whole total at the next ones.
+    Given 4 routers that share a total of 300000 tokens
+    When router 0 spends 1000 tokens 10 times a second for 5 seconds
+    And all routers stop gracefully 4 times and start anew
+    And router 0 spends 1000 tokens 10 times a second for 30 seconds
+    Then at least 290000 tokens are spent
+
   Scenario: Few writes
     Given 4 routers that share a total of 1000000 tokens
     When router 0 spends 1000 tokens 10 times a second for 30 seconds
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -69,6 +69,14 @@
     context.shares.kill_all()
 
 
+@when('all routers stop gracefully {times:d} times and start anew')
+def stop(context: Any, times: int) -> None:
+    """Stop and start them."""
+    for _ in range(times):
+        context.shares.release_all()
+        context.shares.kill_all()
+
+
 @then('at most {tokens:d} tokens are spent')
 def at_most(context: Any, tokens: int) -> None:
     """Compare with what was really spent."""
--- /dev/null
+++ b/features/subjects/kv_gateway.py
@@ -0,0 +1,117 @@
+"""A stand-in of the users' key-value store over HTTP, from its published protocol."""
+
+import base64
+from collections.abc import Callable
+from typing import Any
+from urllib import parse
+
+import anyio
+import msgspec
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.ports import Stored
+from endivesaddle.fleet.sentinels import Absent, Conflict
+from endivesaddle.stand_ins.memory_store import MemoryStore
+
+ENOUGH_S = 60
+PAGE = 2
+
+
+class KvGateway:
+    """An ASGI application over a store in memory; ``status`` replaces all answers."""
+
+    def __init__(self, store: MemoryStore, clock: Clock) -> None:
+        """Answer from ``store``."""
+        self.status = 0
+        self.lose = 0
+        self._store = store
+        self._clock = clock
+
+    async def __call__(self, scope: Any, receive: Any, send: Callable[[Any], Any]) -> None:
+        """Answer one call."""
+        body = (await receive())['body']
+        if self.status:
+            await _reply(send, self.status, {})
+            return
+        query = dict(parse.parse_qsl(scope.get('query_string', b'').decode()))
+        status, document = await self._answer(scope['path'], query, body)
+        if self.lose:
+            self.lose -= 1
+            await anyio.sleep_forever()
+        await _reply(send, status, document)
+
+    async def _answer(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        if path == '/kv-key':
+            return await self._key(query['key'])
+        if path == '/kv-range':
+            return await self._range(query['prefix'], query.get('after', ''))
+        if path == '/kv-watch':
+            return await self._watch(query)
+        return await self._write(path, body)
+
+    async def _key(self, key: str) -> tuple[int, dict[str, Any]]:
+        stored = await self._store.read(key, self._until())
+        if isinstance(stored, Absent):
+            return 404, {}
+        return 200, {**_item(stored), 'store_revision': 1}
+
+    async def _range(self, prefix: str, after: str) -> tuple[int, dict[str, Any]]:
+        changes = await self._store.scan(prefix, self._until())
+        rest = [stored for stored in changes.entries if stored.key > after]
+        page = [_item(stored) for stored in rest[:PAGE]]
+        return 200, {
+            'entries': page,
+            'more_pages': len(rest) > PAGE,
+            'store_revision': changes.version,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        wait_s = int(query['wait_ms']) / 1000
+        changes = await self._store.poll(
+            query['prefix'], int(query['after']), wait_s, self._until()
+        )
+        if isinstance(changes, Absent):
+            return 410, {}
+        events = [_item(stored) for stored in changes.entries]
+        return 200, {'events': events, 'store_revision': changes.version}
+
+    async def _write(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        if path == '/kv-lease':
+            lease = await self._store.grant(
+                msgspec.json.decode(body)['ttl_ms'] // 1000, self._until()
+            )
+            return 200, {'lease': lease, 'ttl_ms': 1}
+        if path.startswith('/kv-keep/'):
+            kept = await self._store.keep_alive(int(path.rpartition('/')[2]), self._until())
+            return (200 if kept else 404), {'ttl_ms': 1}
+        change = msgspec.json.decode(body)
+        put, expected = change['puts'][0], change['expected_rev'][0]
+        written = await self._store.swap(
+            put['key'],
+            base64.b64decode(put['value']),
+            expected['revision'],
+            self._until(),
+            put['lease'],
+        )
+        if isinstance(written, Conflict):
+            current = self._store.kept(put['key'])
+            return 412, {'entries': [_item(current)] if current else []}
+        return 200, {'revision': written.version}
+
+    def _until(self) -> float:
+        return self._clock.now_s() + ENOUGH_S
+
+
+def _item(stored: Stored) -> dict[str, Any]:
+    if stored.value is None:
+        return {'key': stored.key, 'revision': stored.version, 'removed': True}
+    value = base64.b64encode(stored.value).decode()
+    return {'key': stored.key, 'value': value, 'revision': stored.version, 'lease': 0}
+
+
+async def _reply(send: Callable[[Any], Any], status: int, document: dict[str, Any]) -> None:
+    headers = [(b'content-type', b'application/json')]
+    await send({'type': 'http.response.start', 'status': status, 'headers': headers})
+    await send({'type': 'http.response.body', 'body': msgspec.json.encode(document)})
--- a/features/subjects/shares.py
+++ b/features/subjects/shares.py
@@ -55,6 +55,10 @@
         """Reserve and leave it open."""
         return self._loop.run(self._reserve, self.names[router], tokens)
 
+    def release_all(self) -> None:
+        """Have all routers give back what is not in use."""
+        self._loop.run(self._release)
+
     def kill_all(self) -> None:
         """Lose all routers with what they know, and start as many anew."""
         count = len(self.names)
@@ -115,6 +119,10 @@
 
         self._tasks.append(asyncio.ensure_future(run()))
 
+    async def _release(self) -> None:
+        for name in self.names:
+            await self.keepings[name].release()
+
     async def _kill(self) -> None:
         for name in self.names:
             self._running[name].cancel()
--- /dev/null
+++ b/features/subjects/users_platform.py
@@ -0,0 +1,179 @@
+"""Subject: the adapter of the users' platform, over a stand-in of their store."""
+
+import asyncio
+import importlib
+import os
+import pathlib
+import sys
+import tempfile
+from typing import Any
+
+import anyio
+import msgspec
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.errors import FleetError, UserError
+from endivesaddle.fleet.routes.declared import Repeat, RouteServer
+from endivesaddle.fleet.routes.following import Follower
+from endivesaddle.fleet.routes.known import Contact, Known
+from endivesaddle.stand_ins.etcd_transport import AsgiTransport
+from endivesaddle.stand_ins.memory_store import MemoryStore
+from subjects.kv_gateway import KvGateway
+from subjects.links_loop import ScenarioLoop
+
+FOLDER = pathlib.Path(__file__).parent.parent.parent / 'platform'
+ROUTE: dict[str, Any] = {
+    'name': 'r-1',
+    'host': 'Boards.example',
+    'prefix': '/b/',
+    'kind': 'streaming',
+    'timeout_ms': 15000,
+    'goal_ms': 600,
+    'priority': 1,
+    'backends': [{'service': 'engines', 'weight': 90}, {'service': 'plain', 'weight': 10}],
+    'max_attempts': 2,
+    'public': False,
+    'session_affinity': True,
+    'stream_resume': True,
+}
+CONFIG: dict[str, Any] = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {'name': 'engines', 'max_conns': 370, 'engine': {'stride': 6, 'kv_capacity': 700}},
+        {'name': 'plain', 'max_conns': 110},
+    ],
+    'limits': {'max_header_bytes': 999, 'idle_timeout_ms': 15000},
+    'tenants': [{'name': 'hule', 'api_keys': ['k1', 'k2'], 'priority': 1, 'prepaid': 2688330}],
+}
+ENTRY: dict[str, Any] = {
+    'service': 'engines',
+    'address': '10.1.0.1:80',
+    'zone': 'porto-a',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'sequence': 1,
+}
+NODE = """
+node_name = "edge-1"
+zone = "porto-a"
+seeds = ["10.1.0.40:8229"]
+[bind]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+control = "10.1.0.40:8229"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_slack = 56
+[provider]
+address = "10.200.1.7:8223"
+"""
+
+
+def module(name: str) -> Any:
+    """Import a module of the adapter's folder."""
+    if str(FOLDER) not in sys.path:
+        sys.path.append(str(FOLDER))
+    return importlib.import_module(name)
+
+
+class UsersPlatform:
+    """One adapter and one router's knowledge that follows the store."""
+
+    def __init__(self) -> None:
+        """Start with an empty store."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self.memory = MemoryStore(self._clock)
+        self.gateway = KvGateway(self.memory, self._clock)
+        self.known = Known()
+        self.contact = Contact(self._clock)
+        self._loop.run(self._open)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def call(self, name: str, *arguments: Any) -> Any:
+        """Call the store's client; return what it gave, or the error."""
+        return self._loop.run(self._call, name, arguments)
+
+    def follow(self) -> None:
+        """Start following the store."""
+        self._loop.run(self._follow)
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self._loop.run(anyio.sleep, seconds)
+
+    def configure(self, version: int) -> None:
+        """Have the operator write a version."""
+        self._loop.run(self._put, 'op/config', {**CONFIG, 'version': version})
+
+    def enter(self, name: str, state: str = 'ready') -> None:
+        """Have a server write its entry."""
+        self._loop.run(self._put, f'servers/{name}', {**ENTRY, 'state': state})
+
+    def expire(self, name: str) -> None:
+        """Have a server's entry vanish."""
+        self._loop.run(self._remove, f'servers/{name}')
+
+    def down(self, down: bool) -> None:
+        """Take the store down or bring it back."""
+        self._loop.run(self._fail, down)
+
+    def servers(self) -> tuple[RouteServer, ...]:
+        """Return the servers that take requests."""
+        return self.known.of_service('engines')
+
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.known.book.version if self.known.book else 0
+
+    async def _open(self) -> None:
+        self.transport = AsgiTransport({'store': self.gateway})
+        kv_store = module('kv_store')
+        self.store = kv_store.KvStore('store', self._clock, self.transport)
+
+    async def _call(self, name: str, arguments: tuple[Any, ...]) -> Any:
+        try:
+            return await getattr(self.store, name)(*arguments, self._clock.now_s() + 1)
+        except FleetError as error:
+            return error
+
+    async def _follow(self) -> None:
+        decoder = module('documents').PlatformDecoder()
+        follower = Follower(self.store, decoder, self.known, self._clock, self.contact)
+        self._following = asyncio.ensure_future(follower.run())
+        await anyio.sleep(0.1)
+
+    async def _put(self, key: str, document: dict[str, Any]) -> None:
+        self.memory.put(key, msgspec.json.encode(document))
+
+    async def _remove(self, key: str) -> None:
+        self.memory.remove(key)
+
+    async def _fail(self, down: bool) -> None:
+        self.memory.fail(down)
+
+
+def read_node(text: str) -> Any:
+    """Read a settings file; return the settings or the error's text."""
+    node_file = module('node_file')
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'node.toml'
+        path.write_text(text)
+        os.environ[node_file.NODE_FILE] = str(path)
+        try:
+            return node_file.read()
+        except UserError as error:
+            return str(error)
+
+
+def declared() -> Any:
+    """Read the example of a configuration."""
+    read = module('documents').read_config(msgspec.json.encode(CONFIG))
+    assert read.routes[0].repeat is Repeat.STREAMED
+    return read
--- /dev/null
+++ b/features/users_platform.feature
@@ -0,0 +1,69 @@
+Feature: The adapter of the users' platform
+  It translates the platform's documents, store and headers into the product's own types.
+
+  Scenario: A configuration
+    Then the example configuration is read into routes, services, accounts and limits
+
+  Scenario Outline: A document that is no configuration changes nothing
+    Given a router that follows the users' store
+    When the operator's document is <text>
+    And version 3 is configured
+    Then version 3 is in force
+
+    Examples:
+      | text          |
+      | {             |
+      | {"version":2} |
+      | []            |
+
+  Scenario: Settings
+    Then the settings file becomes the product's settings
+    And a settings file without "bounds" is refused and named
+
+  Scenario: The store's calls
+    Given a router that follows the users' store
+    Then a key is read, written under its version, and refused under another
+    And a list of many pages is read whole
+    And a lost answer to a write is told as unsure
+    And a write that the store refuses is told as not done
+
+  Scenario: A version never goes back
+    Given a router that follows the users' store
+    When version 5 is configured
+    And version 4 is configured
+    Then version 5 is in force
+
+  Scenario: A change is in force within two seconds though the watch fell silent
+    The connection of the watch loses track of its other end: no error ever comes.
+    Given a router that follows the users' store
+    When the watches fall silent
+    And version 5 is configured
+    And 2 seconds pass
+    Then version 5 is in force
+
+  Scenario: A change made while the history is dropped
+    Given a router that follows the users' store
+    When version 5 is configured and the history is dropped at once
+    And 2 seconds pass
+    Then version 5 is in force
+
+  Scenario: A server that leaves gets nothing more
+    Given a router that follows the users' store
+    When server one enters
+    And server two enters
+    And server one drains
+    And server two vanishes
+    Then 0 servers take requests
+
+  Scenario: Servers whose entries lapsed with an outage stay in use
+    The store was down, and the entries of all servers lapsed with it.  They are back within
+    two seconds of its return; had the router believed the empty list, it would have refused
+    every request till then.
+    Given a router that follows the users' store
+    When server one enters
+    And server two enters
+    And the store goes down for 4 seconds while the entries lapse
+    Then 2 servers take requests
+    When server one enters
+    And 3 seconds pass
+    Then 1 servers take requests
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -150,6 +150,8 @@
         self._stopping.refusing = True
         while self._app.open_count and self._clock.now_s() < end_unix_s:
             await anyio.sleep(LOOK_S)
+        with anyio.move_on_after(SETTLED_S):
+            await self.parts.keeping.release()
         cut = self._app.open_count
         (events.CUT if cut else events.DRAINED).log(instance=self._settings.place.instance)
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-HEADROOM_S = 12.0
+HEADROOM_S = 8.0
 """Seconds of an account's use that a router holds ahead, far from the total.
 
 Store outages last 4 to 9 s, and a grant may have shrunk to ``LOW`` of it when one begins;
@@ -185,6 +185,11 @@
         """Tell whether it is certain that the rest of the total doesn't cover a worst case."""
         return total - max(self.reported, self.spent) < tokens
 
+    def stored(self, record: Record | None) -> int:
+        """Return the grant that a record holds for this router, as it may be used here."""
+        entry = record.entries.get(self._lifetime) if record else None
+        return (entry.granted if entry else 0) - self.given
+
     def entered(self, record: Record, granted: int) -> Record:
         """Return the record with this router's entry changed.
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -106,6 +106,7 @@
         self._contact = contact
         self._keys = [_Key(f'{PREFIX}{number}') for number in range(KEYS)]
         self._held: dict[str, _Held] = {}
+        self._releasing = False
 
     async def run(self) -> None:
         """Adjust the shares until cancelled."""
@@ -127,6 +128,17 @@
             return Reservation(held.share, tokens)
         return self._short(account, held, tokens)
 
+    async def release(self) -> None:
+        """Give back what is not in use, at a graceful stop.
+
+        Without it each restart strands the router's headroom: with all routers
+        restarted in turn that was up to half of what an account had left.
+        """
+        self._releasing = True
+        for key in self._keys:
+            if key.read:
+                await self._change(key, '', 0)
+
     def lend(self, name: str, tokens: int) -> int:
         """Give another router a part of a share; return the tokens given."""
         held = self._held.get(name)
@@ -187,6 +199,8 @@
         )
 
     def _headroom(self, name: str, share: Share) -> int:
+        if self._releasing:
+            return 0
         return share.headroom(self._total(name), self._routers(), self._clock.now_s())
 
     def _total(self, name: str) -> int:
@@ -234,8 +248,10 @@
                 )
                 for one, share in self._of_key(key)
             }
-            changed = any(self._held[one].share.granted != grant for one, grant in wanted.items())
-            if not changed or await self._swap(key, wanted):
+            # Compared with the store and not with what is believed here: a grant that shrinks
+            # is given up before its write, which another router's may have forestalled.
+            stored = {one: self._held[one].share.stored(key.records.get(one)) for one in wanted}
+            if stored == wanted or await self._swap(key, wanted):
                 return
 
     async def _read(self, key: _Key) -> None:
--- a/packages/stand_ins/src/endivesaddle/stand_ins/etcd_transport.py
+++ b/packages/stand_ins/src/endivesaddle/stand_ins/etcd_transport.py
@@ -99,5 +99,6 @@
         'type': 'http',
         'method': request.method,
         'path': request.url.path,
+        'query_string': request.url.query,
         'headers': [(name.lower(), value) for name, value in request.headers.raw],
     }
