--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -24,7 +24,11 @@
 all. Divided evenly among routers instead, the one router that an account's callers reach
 ran dry in a 7.5 s outage with half of the total not granted."""
 UNUSED_SHARE = 0.25
-"""All routers together hold so much of it for an account that none has met lately."""
+"""All routers together hold so much for an account that has spent nothing anywhere yet."""
+IDLE_SHARE = 0.06
+"""All together hold so much for an account in use that a router has not met lately.
+
+It borrows what is missing; more would be stranded when all are killed at once."""
 KEPT_BACK_S = 2.0
 """A lender keeps so much of its own use: two routers that are short don't lend in circles."""
 SMALL_TOKENS = 256
@@ -161,7 +165,8 @@
         """Return how much to hold beyond what is in use."""
         spare = max(0, total - self.others - self.given - self.used)
         most = int(spare * STRANDED_SHARE)
-        least = int(spare * UNUSED_SHARE / max(1, routers))
+        floor = IDLE_SHARE if self.reported or self.spent else UNUSED_SHARE
+        least = int(spare * floor / max(1, routers))
         ahead = int(self.rate_per_s(now_unix_s) * HEADROOM_S)
         return min(most, max(ahead, least))
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -251,7 +251,9 @@
             # Compared with the store and not with what is believed here: a grant that shrinks
             # is given up before its write, which another router's may have forestalled.
             stored = {one: self._held[one].share.stored(key.records.get(one)) for one in wanted}
-            if stored == wanted or await self._swap(key, wanted):
+            short = tokens and wanted[name] < self._held[name].share.used + tokens
+            # What does not make the request fit is left for the next look at all shares.
+            if short or stored == wanted or await self._swap(key, wanted):
                 return
 
     async def _read(self, key: _Key) -> None:
