--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from types import MappingProxyType
 
 import anyio
 
@@ -33,12 +34,14 @@
 MAX_TOKENS = 100
 EVENT_TOKENS = 5
 EVENTS = 6
-KINDS = {
-    'safe': (Repeat.SAFE, False),
-    'unsafe': (Repeat.UNSAFE, False),
-    'streamed': (Repeat.STREAMED, False),
-    'resumable': (Repeat.STREAMED, True),
-}
+KINDS = MappingProxyType(
+    {
+        'safe': (Repeat.SAFE, False),
+        'unsafe': (Repeat.UNSAFE, False),
+        'streamed': (Repeat.STREAMED, False),
+        'resumable': (Repeat.STREAMED, True),
+    }
+)
 SEAL = (('seal', 'server'),)
 
 
@@ -132,6 +135,25 @@
     raise ServerLost('no answer')
 
 
+BEHAVIOURS: MappingProxyType[str, Behaviour] = MappingProxyType(
+    {
+        one.__name__: one
+        for one in (
+            answers,
+            fails,
+            promises,
+            breaks,
+            declines,
+            moved,
+            strays,
+            unsealed,
+            unreached,
+            lost,
+        )
+    }
+)
+
+
 class ScriptedLinks:
     """Servers in the order in which they are met."""
 
@@ -151,8 +173,7 @@
         await anyio.sleep(0.001)
         if name == 'hangs':
             await anyio.sleep_forever()
-        behaviour: Behaviour = globals()[name]
-        yield behaviour(call)
+        yield BEHAVIOURS[name](call)
 
 
 class RecordingSink:
--- a/features/subjects/kv_gateway.py
+++ b/features/subjects/kv_gateway.py
@@ -3,7 +3,7 @@
 import base64
 from collections.abc import Callable
 from typing import Any
-from urllib import parse
+from urllib.parse import parse_qsl
 
 import anyio
 import msgspec
@@ -33,7 +33,7 @@
         if self.status:
             await _reply(send, self.status, {})
             return
-        query = dict(parse.parse_qsl(scope.get('query_string', b'').decode()))
+        query = dict(parse_qsl(scope.get('query_string', b'').decode()))
         status, document = await self._answer(scope['path'], query, body)
         if self.lose:
             self.lose -= 1
--- a/features/subjects/users_platform.py
+++ b/features/subjects/users_platform.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 import tempfile
+from types import MappingProxyType
 from typing import Any
 
 import anyio
@@ -22,41 +23,48 @@
 from subjects.links_loop import ScenarioLoop
 
 FOLDER = pathlib.Path(__file__).parent.parent.parent / 'platform'
-ROUTE: dict[str, Any] = {
-    'name': 'r-1',
-    'host': 'Boards.example',
-    'prefix': '/b/',
-    'kind': 'streaming',
-    'timeout_ms': 15000,
-    'goal_ms': 600,
-    'priority': 1,
-    'backends': [{'service': 'engines', 'weight': 90}, {'service': 'plain', 'weight': 10}],
-    'max_attempts': 2,
-    'public': False,
-    'session_affinity': True,
-    'stream_resume': True,
-}
-CONFIG: dict[str, Any] = {
-    'version': 7,
-    'routes': [ROUTE],
-    'services': [
-        {'name': 'engines', 'max_conns': 370, 'engine': {'stride': 6, 'kv_capacity': 700}},
-        {'name': 'plain', 'max_conns': 110},
-    ],
-    'limits': {'max_header_bytes': 999, 'idle_timeout_ms': 15000},
-    'tenants': [{'name': 'hule', 'api_keys': ['k1', 'k2'], 'priority': 1, 'prepaid': 2688330}],
-}
-ENTRY: dict[str, Any] = {
-    'service': 'engines',
-    'address': '10.1.0.1:80',
-    'zone': 'porto-a',
-    'version': 'v1',
-    'slots': 64,
-    'state': 'ready',
-    'sequence': 1,
-}
+ROUTE: MappingProxyType[str, Any] = MappingProxyType(
+    {
+        'name': 'r-1',
+        'host': 'Boards.example',
+        'prefix': '/b/',
+        'kind': 'streaming',
+        'timeout_ms': 15000,
+        'goal_ms': 600,
+        'priority': 1,
+        'backends': [{'service': 'engines', 'weight': 90}, {'service': 'plain', 'weight': 10}],
+        'max_attempts': 2,
+        'public': False,
+        'session_affinity': True,
+        'stream_resume': True,
+    }
+)
+CONFIG: MappingProxyType[str, Any] = MappingProxyType(
+    {
+        'version': 7,
+        'routes': [dict(ROUTE)],
+        'services': [
+            {'name': 'engines', 'max_conns': 370, 'engine': {'stride': 6, 'kv_capacity': 700}},
+            {'name': 'plain', 'max_conns': 110},
+        ],
+        'limits': {'max_header_bytes': 999, 'idle_timeout_ms': 15000},
+        'tenants': [{'name': 'hule', 'api_keys': ['k1', 'k2'], 'priority': 1, 'prepaid': 2688330}],
+    }
+)
+ENTRY: MappingProxyType[str, Any] = MappingProxyType(
+    {
+        'service': 'engines',
+        'address': '10.1.0.1:80',
+        'zone': 'porto-a',
+        'version': 'v1',
+        'slots': 64,
+        'state': 'ready',
+        'sequence': 1,
+    }
+)
 NODE = """
 node_name = "edge-1"
+ip = "10.1.0.40"
 zone = "porto-a"
 seeds = ["10.1.0.40:8229"]
 [bind]
@@ -174,6 +182,6 @@
 
 def declared() -> Any:
     """Read the example of a configuration."""
-    read = module('documents').read_config(msgspec.json.encode(CONFIG))
+    read = module('documents').read_config(msgspec.json.encode(dict(CONFIG)))
     assert read.routes[0].repeat is Repeat.STREAMED
     return read
--- a/packages/callers/src/endivesaddle/callers/app.py
+++ b/packages/callers/src/endivesaddle/callers/app.py
@@ -9,8 +9,7 @@
 from endivesaddle.callers import events, operating, serving
 from endivesaddle.callers.accounts import Keys
 from endivesaddle.callers.context import Context, Handler, routes
-from endivesaddle.callers.exchange import CallerGone, Exchange, Receive, Send
-from endivesaddle.callers.forward_app import live
+from endivesaddle.callers.exchange import CallerGone, Exchange, Receive, Send, live
 from endivesaddle.callers.metrics import Metrics
 from endivesaddle.callers.ports import OperatorPort, StatePort
 from endivesaddle.callers.refusals import Invalid, error_body, refuse
--- a/packages/callers/src/endivesaddle/callers/exchange.py
+++ b/packages/callers/src/endivesaddle/callers/exchange.py
@@ -165,3 +165,12 @@
         f'the body is larger than {most_bytes} bytes',
         status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     )
+
+
+async def live(receive: Receive, send: Send) -> None:
+    """Answer the server's lifespan messages."""
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -7,9 +7,9 @@
 import anyio
 
 from endivesaddle.callers import events
-from endivesaddle.callers.exchange import CallerGone, Exchange, Receive, Send
+from endivesaddle.callers.exchange import CallerGone, Exchange, Receive, Send, live
+from endivesaddle.callers.forward_metrics import ForwardMetrics
 from endivesaddle.callers.forward_requests import read_head, read_request
-from endivesaddle.callers.metrics import Metrics
 from endivesaddle.callers.refusals import Invalid, error_body, refuse
 from endivesaddle.callers.settings import CallersSettings
 from endivesaddle.fleet.clock import Clock
@@ -54,18 +54,19 @@
 class AsgiSink:
     """The way back to one caller."""
 
-    def __init__(self, exchange: Exchange, own: Pairs, retry_after: str, metrics: Metrics) -> None:
-        """Add the headers ``own`` to answers of the router itself."""
+    def __init__(self, exchange: Exchange, parts: 'ForwardParts') -> None:
+        """Answer to ``exchange``; answers of the router's own name the request."""
+        request_id = exchange.headers.get(parts.dialect.request_id, '')
         self._exchange = exchange
-        self._own = own
-        self._retry_after = retry_after
-        self._metrics = metrics
-        self.extra: Pairs = ()
+        self._own = ((parts.dialect.request_id, request_id),) if request_id else ()
+        self._parts = parts
+        self._extra: Pairs = (CLOSE,) if parts.stopping.leaving else ()
+        self.kind = 'none'
 
     async def start(self, status: int, headers: Pairs) -> None:
         """Send the head of a streamed answer."""
-        self._metrics.answered(status)
-        await self._exchange.start(status, (*headers, *self.extra))
+        self._count(status, '')
+        await self._exchange.start(status, (*headers, *self._extra))
 
     async def write(self, data: bytes) -> None:
         """Send a part of it."""
@@ -77,19 +78,23 @@
 
     async def reply(self, status: int, headers: Pairs, body: bytes) -> None:
         """Send a whole answer of a server."""
-        self._metrics.answered(status)
+        self._count(status, '')
         length = (LENGTH, str(len(body)))
-        await self._exchange.start(status, (*headers, length, *self.extra))
+        await self._exchange.start(status, (*headers, length, *self._extra))
         await self._exchange.finish(body)
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send an answer of the router's own."""
-        self._metrics.refused(refusal.code)
-        headers = [('content-type', JSON), *self._own, *self.extra]
+        self._count(refusal.status, refusal.code)
+        headers = [('content-type', JSON), *self._own, *self._extra]
         if refusal.retry_after_s:
-            headers.append((self._retry_after, str(refusal.retry_after_s)))
+            headers.append((self._parts.dialect.retry_after, str(refusal.retry_after_s)))
         await self._exchange.reply(refusal.status, error_body(refusal), headers)
 
+    def _count(self, status: int, code: str) -> None:
+        took_s = self._parts.clock.now_s() - self._exchange.began_unix_s
+        self._parts.metrics.answered(self.kind, status, code, took_s)
+
 
 class ForwardParts(NamedTuple):
     """What the application works with."""
@@ -99,7 +104,7 @@
     known: Known
     runner: Runner
     clock: Clock
-    metrics: Metrics
+    metrics: ForwardMetrics
     stopping: Stopping
 
 
@@ -131,7 +136,7 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         parts = self._parts
-        sink = self._sink(exchange)
+        sink = AsgiSink(exchange, parts)
         request = await self._read(exchange)
         if isinstance(request, Refusal):
             run_events.REFUSED.log(
@@ -141,10 +146,10 @@
             )
             await sink.refuse(request)
             return
+        sink.kind = request.route.repeat.value
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch, exchange, request, group.cancel_scope)
-            with parts.metrics.open_request():
-                await parts.runner.serve(request, sink)
+            await parts.runner.serve(request, sink)
             group.cancel_scope.cancel()
 
     async def _watch(
@@ -175,15 +180,6 @@
             return body
         return read_request(exchange, head, body, self._parts.dialect)
 
-    def _sink(self, exchange: Exchange) -> AsgiSink:
-        dialect = self._parts.dialect
-        request_id = exchange.headers.get(dialect.request_id, '')
-        own = ((dialect.request_id, request_id),) if request_id else ()
-        sink = AsgiSink(exchange, own, dialect.retry_after, self._parts.metrics)
-        if self._parts.stopping.leaving:
-            sink.extra = (CLOSE,)
-        return sink
-
 
 class ReadyApp:
     """Answer the platform's question whether this router takes requests."""
@@ -211,12 +207,3 @@
             }
         )
         await send({'type': 'http.response.body', 'body': b''})
-
-
-async def live(receive: Receive, send: Send) -> None:
-    """Answer the server's lifespan messages."""
-    while True:
-        message = await receive()
-        await send({'type': f'{message["type"]}.complete'})
-        if message['type'] == 'lifespan.shutdown':
-            return
--- a/packages/daemon/src/endivesaddle/daemon/events.py
+++ b/packages/daemon/src/endivesaddle/daemon/events.py
@@ -14,3 +14,10 @@
 FLOORS_UNREAD = event(
     8008, 'WARNING', 'floors_unread', 'A sidecar can not read the sealed epochs yet: no runs.'
 )
+LEFT_OUT = event(
+    8010, 'WARNING', 'log_lines_left_out', 'Lines were left out, by event: too many, or no reader.'
+)
+RELOADED = event(8011, 'INFO', 'settings_reloaded', 'The settings file was read again.')
+RELOAD_REFUSED = event(
+    8012, 'ERROR', 'settings_refused', 'The settings file is wrong; the old settings stay.'
+)
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -5,7 +5,7 @@
 """
 
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
 import anyio
@@ -13,7 +13,7 @@
 from endivesaddle.backend_servers.forward_calls import ForwardLinks
 from endivesaddle.backend_servers.kept_links import KeptLinks
 from endivesaddle.callers.forward_app import ForwardApp, ForwardParts, ReadyApp, Stopping
-from endivesaddle.callers.metrics import Metrics
+from endivesaddle.callers.forward_metrics import ForwardMetrics
 from endivesaddle.daemon import events
 from endivesaddle.daemon.forward_http import SETTLED_S, serve_http
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
@@ -92,10 +92,11 @@
         known, contact, dispatcher, keeping, _ = self.parts
         keeping.borrow = self.neighbours.borrow
         self._follower = Follower(ports.store, ports.decoder, known, clock, contact)
+        self._metrics = ForwardMetrics(self.state)
         runner = Runner(dispatcher, keeping, self.links, clock)
         self._app = ForwardApp(
             ForwardParts(
-                settings.http, ports.dialect, known, runner, clock, Metrics(), self._stopping
+                settings.http, ports.dialect, known, runner, clock, self._metrics, self._stopping
             )
         )
 
@@ -113,7 +114,27 @@
             group.cancel_scope.cancel()
         events.STOPPED.log(instance=self._settings.place.instance)
 
-    def _running(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+    def state(self) -> dict[str, Any]:
+        """Return the whole state for operators; ``counters`` are numbers alone."""
+        known, contact, dispatcher, keeping, roster = self.parts
+        return {
+            'instance': self._settings.place.instance,
+            'lifetime': self._settings.place.lifetime,
+            'routers': roster.others,
+            'shares': keeping.dump(),
+            'servers': dispatcher.dump(),
+            'counters': {
+                'forward_open': self._app.open_count,
+                'connections_opened': self.links.links.opened_count,
+                'declared_version': known.book.version if known.book else 0,
+                'servers_known': len(known.servers),
+                'store_age_seconds': contact.age_s,
+                'routers_known': len(roster.others) + 1,
+                **dispatcher.counts,
+            },
+        }
+
+    def _running(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
         return (
             self._follower.run,
             self.parts.roster.run,
@@ -131,6 +152,7 @@
         async with anyio.create_task_group() as serving:
             serving.start_soon(serve_http, self._app, place.http_listen, http, known, closed)
             serving.start_soon(serve_http, ready, place.ready_listen, http, known, closed)
+            serving.start_soon(serve_http, self._metrics, place.metrics_listen, http, known, closed)
             events.STARTED.log(address=place.listen, http_address=place.http_listen)
             await _stop_signal()
             await self._stop()
--- a/packages/daemon/src/endivesaddle/daemon/forwarder_settings.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder_settings.py
@@ -27,6 +27,9 @@
     listen: str = options.option(
         'listen', 'ip:port for the other routers', '127.0.0.1:0', options.address
     )
+    metrics_listen: str = options.option(
+        'metrics-listen', 'ip:port for metrics and the state dump', '127.0.0.1:0', options.address
+    )
     seeds: tuple[str, ...] = options.option(
         'seeds', 'ip:port of other routers, where the store does not tell', (), options.names
     )
--- a/packages/daemon/src/endivesaddle/daemon/logs.py
+++ b/packages/daemon/src/endivesaddle/daemon/logs.py
@@ -3,10 +3,11 @@
 import sys
 from typing import TYPE_CHECKING
 
-import msgspec
 from loguru import logger
 
+from endivesaddle.daemon.bounded_log import BoundedLog
 from endivesaddle.daemon.settings import LogSettings
+from endivesaddle.fleet.clock import SteadyClock
 
 if TYPE_CHECKING:
     from loguru import Message
@@ -16,25 +17,29 @@
 
 
 def set_up(settings: LogSettings, instance: str) -> None:
-    """Send logs to standard error in the format that the settings ask for."""
+    """Send logs where the format asks for: JSON lines to standard output, text to standard error.
+
+    JSON lines are bounded and never wait for their reader.
+    """
     logger.remove()
     logger.configure(extra={'event': 0, 'instance': instance})
     if settings.log_format == 'json':
-        logger.add(_write_json, level=settings.log_level)
+        log = BoundedLog(sys.stdout.fileno(), SteadyClock())
+        logger.add(lambda message: _write_json(log, message), level=settings.log_level)
         return
     logger.add(sys.stderr, level=settings.log_level, format=TEXT_FORMAT)
 
 
-def _write_json(message: 'Message') -> None:
+def _write_json(log: BoundedLog, message: 'Message') -> None:
     record = message.record
     extra = record['extra']
+    name = extra.get('name', record['message'])
     line = {
         'at_unix_s': record['time'].timestamp(),
         'level': record['level'].name,
         'instance': extra.get('instance', ''),
         'event': extra.get('event', 0),
-        'name': extra.get('name', record['message']),
+        'name': name,
         **extra.get('fields', {}),
     }
-    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode())
-    sys.stderr.write('\n')
+    log.write(name, record['level'].name, line)
--- a/packages/fleet/src/endivesaddle/fleet/routes/events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/events.py
@@ -12,7 +12,7 @@
 )
 STORE_LOST = event(4605, 'WARNING', 'store_lost', 'the store did not answer; what is known stays')
 STORE_BACK = event(4606, 'INFO', 'store_regained', 'the store answers again')
-GRANT = event(1501, 'DEBUG', 'grant_changed', "this router's share of an account's total changed")
+GRANT = event(1501, 'INFO', 'grant_changed', "this router's share of an account's total changed")
 GRANT_SHORT = event(
     1502, 'INFO', 'grant_short', 'a request did not fit into what the account has left here'
 )
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -193,7 +193,7 @@
     def stored(self, record: Record | None) -> int:
         """Return the grant that a record holds for this router, as it may be used here."""
         entry = record.entries.get(self._lifetime) if record else None
-        return (entry.granted if entry else 0) - self.given
+        return -self.given if entry is None else entry.granted - self.given
 
     def entered(self, record: Record, granted: int) -> Record:
         """Return the record with this router's entry changed.
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -89,6 +89,7 @@
         engine = is_engine(self.known.book.services.get(service) if self.known.book else None)
         name = self._settings.forward_policy if engine else 'least_busy'
         self._turn += 1
+        self.counts['placed'] += 1
         setting = Setting(
             want, lanes, self._settings.forward_data_centre, engine, self.now_s(), self._turn
         )
@@ -101,7 +102,9 @@
 
     def may_repeat(self, request: ForwardRequest) -> bool:
         """Spend one repeat of the service's share."""
-        return self._share(self._service(request)).allow(self.now_s(), self.routers)
+        allowed = self._share(self._service(request)).allow(self.now_s(), self.routers)
+        self.counts['repeats_allowed' if allowed else 'repeats_refused'] += 1
+        return allowed
 
     def event_tokens(self, request: ForwardRequest) -> int:
         """Return the most output tokens in one event of the answer."""
@@ -109,6 +112,19 @@
         service = book.services.get(self._service(request)) if book else None
         return service.event_tokens if service else request.max_tokens
 
+    def dump(self) -> dict[str, dict[str, float]]:
+        """Return what is known of each server, for operators."""
+        now_unix_s = self.now_s()
+        return {
+            lane.server.lifetime: {
+                'own_in_flight': lane.own_in_flight,
+                'in_flight': lane.in_flight,
+                'reading_tokens': lane.reading_tokens,
+                'failed_share': round(lane.failed_share(now_unix_s), 3),
+            }
+            for lane in self.lanes.all()
+        }
+
     def _service(self, request: ForwardRequest) -> str:
         """Return the service of a request: the same whenever it is asked."""
         targets = request.route.targets
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -21,7 +21,7 @@
     {
         'format': ('ruff', 'format', '--check', '--quiet', '.'),
         'imports': ('ruff', 'check', '--quiet', '.'),
-        'lint': ('flake8', 'packages', 'features', 'tools'),
+        'lint': ('flake8', 'packages', 'platform', 'features', 'tools'),
         'types': ('mypy', '--no-error-summary', 'packages'),
     }
 )
