--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -26,6 +26,12 @@
 in the 15 s after the kill were refused. Early in the day it is more than ``HEADROOM_S``.
 It is not divided evenly: the one router that an account's callers reach ran dry so in a
 7.5 s outage, with half of the total not granted."""
+LEAST_PART = 8
+"""A router may hold the eighth part of what is not granted, whatever the others hold.
+
+What others have spent is known as of their last write: going by that alone, routers that
+are busy near the total wrote the record for each request, lost to each other, and refused
+with a tenth of the total free."""
 UNUSED_SHARE = 0.25
 """All routers together hold so much for an account that has spent nothing anywhere yet."""
 IDLE_SHARE = 0.06
@@ -172,7 +178,8 @@
         """Return how much to hold beyond what is in use."""
         spare = max(0, total - self.others - self.given - self.used)
         unspent = spare + self.ahead_elsewhere
-        most = max(0, min(int(spare / 2), int(unspent * STRANDED_SHARE) - self.ahead_elsewhere))
+        allowed = int(unspent * STRANDED_SHARE) - self.ahead_elsewhere
+        most = max(spare // LEAST_PART, min(spare // 2, allowed))
         floor = IDLE_SHARE if self.reported or self.spent else UNUSED_SHARE
         least = int(spare * floor / max(1, routers))
         ahead = int(self.rate_per_s(now_unix_s) * HEADROOM_S)
