--- /dev/null
+++ b/features/placing.feature
@@ -0,0 +1,24 @@
+Feature: Placing forwarded requests
+  Each policy replays the same load; what ours gains is compared in the same run.
+
+  Scenario Outline: Shared parts of prompts stay where they were read
+    Requests share long parts of prompts, and five routers see a fifth of them each.
+    When 6 engines and 5 routers carry 50 requests a second for 40 seconds, <hot> of 100 of one subject
+    Then earliest_first_event reads at least <less> of 100 fewer shared tokens than <baseline>
+    And earliest_first_event is late no more often than <baseline>
+
+    Examples:
+      | hot | less | baseline          |
+      | 0   | 75   | round_robin       |
+      | 0   | 50   | least_outstanding |
+      | 30  | 50   | least_outstanding |
+
+  Scenario: A subject that half of all requests are about is spread
+    Placed by its home alone, it would queue at one engine, and its callers would wait.
+    When 6 engines and 5 routers carry 60 requests a second for 20 seconds, 50 of 100 of one subject
+    Then earliest_first_event is late at most half as often as prefix_hash
+
+  Scenario: A server that fails is met less often, and again when it is mended
+    When one of 3 plain servers fails all its requests for 5 seconds
+    Then it is met by at most 10 of 100 requests while it fails
+    And by at least 20 of 100 from 20 seconds after it is mended
--- /dev/null
+++ b/features/steps/placing_steps.py
@@ -0,0 +1,83 @@
+"""Steps of placing.feature."""
+
+from typing import Any
+
+from behave import then, when
+
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
+from endivesaddle.fleet.routing.placing import Setting, least_busy, placing_policies
+from subjects.placing import PlacingLoad
+
+PER_S = 30
+FAILING_S = 5
+MENDED_S = 25
+HUNDRED = 100
+
+
+@when(
+    '{engines:d} engines and {routers:d} routers carry {per_s:d} requests a second '
+    'for {seconds:d} seconds, {hot:d} of 100 of one subject'
+)
+def carry(context: Any, engines: int, routers: int, per_s: int, seconds: int, hot: int) -> None:
+    """Replay the load under each policy."""
+    context.loads = {}
+    for policy in placing_policies:
+        load = PlacingLoad(engines, routers)
+        load.play(policy, per_s, seconds, hot / HUNDRED)
+        context.loads[policy] = load
+
+
+@then('{ours} reads at least {less:d} of 100 fewer shared tokens than {baseline}')
+def fewer(context: Any, ours: str, less: int, baseline: str) -> None:
+    """Compare the tokens."""
+    read = context.loads[ours].shared_tokens
+    other = context.loads[baseline].shared_tokens
+    assert read <= other * (1 - less / HUNDRED), (read, other)
+
+
+@then('{ours} is late no more often than {baseline}')
+def late(context: Any, ours: str, baseline: str) -> None:
+    """Compare late first tokens."""
+    counts = context.loads[ours].late, context.loads[baseline].late
+    assert counts[0] <= counts[1], counts
+
+
+@then('{ours} is late at most half as often as {baseline}')
+def half_as_late(context: Any, ours: str, baseline: str) -> None:
+    """Compare late first tokens."""
+    counts = context.loads[ours].late, context.loads[baseline].late
+    assert counts[1] > HUNDRED, counts
+    assert counts[0] <= counts[1] / 2, counts
+
+
+@when('one of 3 plain servers fails all its requests for {seconds:d} seconds')
+def fail(context: Any, seconds: int) -> None:
+    """Send steadily; note who is met while it fails and after."""
+    servers = [RouteServer(f'life-{n}', 'plain', f'{n}:1', 'a', 6) for n in range(3)]
+    lanes = [Lane(server) for server in servers]
+    context.met = {'failing': [], 'mended': []}
+    for number in range(PER_S * (MENDED_S + FAILING_S)):
+        now_unix_s = number / PER_S
+        want = ForwardWant(str(number), 'plain')
+        lane = least_busy(Setting(want, lanes, 'a', False, now_unix_s, number))
+        failing = now_unix_s < seconds
+        if failing or now_unix_s > MENDED_S:
+            context.met['failing' if failing else 'mended'].append(lane is lanes[0])
+        lane.sent(want, now_unix_s)
+        lane.ended(want)
+        lane.fared(not failing or lane is not lanes[0], now_unix_s)
+
+
+@then('it is met by at most {most:d} of 100 requests while it fails')
+def met_failing(context: Any, most: int) -> None:
+    """Look at the share."""
+    met = context.met['failing']
+    assert sum(met) / len(met) <= most / HUNDRED, sum(met) / len(met)
+
+
+@then('by at least {least:d} of 100 from {after:d} seconds after it is mended')
+def met_mended(context: Any, least: int, after: int) -> None:
+    """Look at the share."""
+    met = context.met['mended']
+    assert sum(met) / len(met) >= least / HUNDRED, sum(met) / len(met)
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -249,6 +249,10 @@
         """Carry one request to its end."""
         self._loop.run(self._request)
 
+    def use_up(self) -> None:
+        """Leave nothing to reserve from: the store is away before anything was granted."""
+        self._contact.lost('test')
+
     def leave(self) -> None:
         """Carry one request whose caller leaves after 50 ms."""
         self._loop.run(self._leave)
@@ -273,10 +277,10 @@
         for number in range(3):
             name = f'life-{number}'
             self._known.server(RouteServer(name, 'engines', f'{name}:1', 'a', 4), 'test')
-        contact = Contact(self._clock)
-        contact.heard()
+        self._contact = Contact(self._clock)
+        self._contact.heard()
         store = MemoryStore(self._clock)
-        self.keeping = Keeping(store, self._known, self._clock, 'one', list, contact)
+        self.keeping = Keeping(store, self._known, self._clock, 'one', list, self._contact)
         dispatcher = Dispatcher(ForwardSettings(), self._known, self._clock, 'one')
         self.runner = Runner(dispatcher, self.keeping, self.links, self._clock)
 
--- /dev/null
+++ b/features/subjects/placing.py
@@ -0,0 +1,90 @@
+"""Subject: the placing policies under a load, replayed in virtual time on simple engines.
+
+An engine reads the unread part of each prompt one after the other; a part that
+it has read stays for ``KEPT_S``.  What a policy sees is what a router sees.
+"""
+
+from random import Random
+
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
+from endivesaddle.fleet.routing.placing import Setting, placing_policies
+
+READ_TOKENS_PER_S = 120_000.0
+KEPT_S = 20.0
+SHARED_TOKENS = 5000
+OWN_TOKENS = 4000
+SUBJECTS = 60
+GOAL_S = 0.25
+
+
+class Engine:
+    """One engine's queue of reading, and the parts that it keeps."""
+
+    def __init__(self) -> None:
+        """Start idle and empty."""
+        self.free_unix_s = 0.0
+        self.read_tokens = 0
+        self._kept: dict[str, float] = {}
+
+    def read(self, want: ForwardWant, now_unix_s: float) -> float:
+        """Read a prompt; return when its first token comes."""
+        unread = 0
+        for part, tokens in want.parts:
+            if now_unix_s - self._kept.get(part, -KEPT_S) >= KEPT_S:
+                unread += tokens
+            self._kept[part] = now_unix_s
+        self.read_tokens += unread
+        started_unix_s = max(now_unix_s, self.free_unix_s)
+        self.free_unix_s = started_unix_s + unread / READ_TOKENS_PER_S
+        return self.free_unix_s
+
+
+class PlacingLoad:
+    """Engines and routers under one load."""
+
+    def __init__(self, engines: int, routers: int) -> None:
+        """Start idle; each router has lanes of its own."""
+        servers = [RouteServer(f'life-{n}', 'engines', f'{n}:1', 'a', 64) for n in range(engines)]
+        self._engines = {server.lifetime: Engine() for server in servers}
+        self._routers = [[Lane(server) for server in servers] for _ in range(routers)]
+        self.late = 0
+        self.count = 0
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of shared parts that the engines had to read."""
+        read = sum(engine.read_tokens for engine in self._engines.values())
+        return read - self.count * OWN_TOKENS
+
+    def play(self, policy: str, per_s: float, seconds: float, hot_share: float) -> None:
+        """Send requests; ``hot_share`` of them are about one subject."""
+        random = Random(5)
+        waiting: list[tuple[float, Lane, ForwardWant]] = []
+        for number in range(int(per_s * seconds)):
+            now_unix_s = number / per_s
+            waiting = _began(waiting, now_unix_s)
+            subject = 0 if random.random() < hot_share else random.randrange(SUBJECTS)
+            want = _want(number, subject)
+            lanes = self._routers[random.randrange(len(self._routers))]
+            setting = Setting(want, lanes, 'a', True, now_unix_s, number)
+            lane = placing_policies.find(policy)(setting)
+            lane.sent(want, now_unix_s)
+            first_unix_s = self._engines[lane.server.lifetime].read(want, now_unix_s)
+            waiting.append((first_unix_s, lane, want))
+            self.count += 1
+            self.late += first_unix_s - now_unix_s > GOAL_S
+
+
+def _began(
+    waiting: list[tuple[float, Lane, ForwardWant]], now_unix_s: float
+) -> list[tuple[float, Lane, ForwardWant]]:
+    for first_unix_s, lane, want in waiting:
+        if first_unix_s <= now_unix_s:
+            lane.ended(want)
+    return [entry for entry in waiting if entry[0] > now_unix_s]
+
+
+def _want(number: int, subject: int) -> ForwardWant:
+    parts = ((f's{subject}', SHARED_TOKENS), (f'o{number}', OWN_TOKENS))
+    return ForwardWant(str(number), 'engines', parts, SHARED_TOKENS + OWN_TOKENS, 100)
--- a/packages/daemon/src/endivesaddle/daemon/bounded_log.py
+++ b/packages/daemon/src/endivesaddle/daemon/bounded_log.py
@@ -35,6 +35,11 @@
         self._lines: Counter[str] = Counter()
         self._held = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that wait for room in the pipe."""
+        return len(self._held)
+
     def write(self, name: str, level: str, line: dict[str, Any]) -> None:
         """Write one line, or leave it out and count it."""
         second = int(self._clock.now_s())
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -115,8 +115,10 @@
             await self._write_all()
             await anyio.sleep(TICK_S)
 
-    async def reserve(self, account: RouteAccount, tokens: int) -> Reservation | Refusal:
-        """Set a worst case aside, growing the share if need be."""
+    async def reserve(
+        self, account: RouteAccount, tokens: int, request_id: str = ''
+    ) -> Reservation | Refusal:
+        """Set a worst case aside, growing the share if need be; ``request_id`` is for the log."""
         if account.total_tokens is None or tokens <= 0:
             return Reservation(None, 0)
         held = self._hold(account.name)
@@ -126,7 +128,7 @@
         if held.share.fits(tokens):
             held.share.reserve(tokens, self._clock.now_s())
             return Reservation(held.share, tokens)
-        return self._short(account, held, tokens)
+        return self._short(account, held, tokens, request_id)
 
     async def release(self) -> None:
         """Give back what is not in use, at a graceful stop.
@@ -299,10 +301,12 @@
         events.GRANT.log(key=key.name, version=written.version, granted_tokens=wanted)
         return True
 
-    def _short(self, account: RouteAccount, held: _Held, tokens: int) -> Refusal:
+    def _short(self, account: RouteAccount, held: _Held, tokens: int, request_id: str) -> Refusal:
         total = account.total_tokens or 0
         events.GRANT_SHORT.log(
+            request_id=request_id,
             account=account.name,
+            store_age_s=round(self._contact.age_s, 3),
             needed_tokens=tokens,
             granted_tokens=held.share.granted,
             used_tokens=held.share.used,
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -73,7 +73,9 @@
         """Give a request its answer; a cancelled call settles what it reserved."""
         reservation: Reservation | Refusal = Reservation(None, 0)
         if request.account is not None:
-            reservation = await self.keeping.reserve(request.account, request.cost_tokens)
+            reservation = await self.keeping.reserve(
+                request.account, request.cost_tokens, request.request_id
+            )
         if isinstance(reservation, Refusal):
             await self._refuse(request, sink, reservation)
             return
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -14,6 +14,8 @@
 """Weight of one answer in the share of failures: four failures in a row show as 0.68."""
 FORGIVEN_S = 6.0
 """Half of a failure share is forgiven in this time, so that a mended server is tried again."""
+FORGOTTEN_SHARE = 0.05
+"""A smaller share of failures counts as none: an idle fleet would never try the server again."""
 SILENT_S = 1.0
 """A server that refused a connection or fell silent gets nothing for this long, then one try."""
 LONGEST_SILENT_S = 4.0
@@ -132,7 +134,8 @@
     def failed_share(self, now_unix_s: float) -> float:
         """Return the share of failures, old ones forgiven by halves."""
         passed_s = max(0.0, now_unix_s - self._failed_unix_s)
-        return self._failed_share * 0.5 ** (passed_s / FORGIVEN_S)
+        share = self._failed_share * 0.5 ** (passed_s / FORGIVEN_S)
+        return 0.0 if share < FORGOTTEN_SHARE else share
 
 
 class Lanes:
--- a/packages/operators/src/endivesaddle/operators/cli.py
+++ b/packages/operators/src/endivesaddle/operators/cli.py
@@ -21,7 +21,7 @@
 NAME = 'endivesaddle'
 _ROUTER_URL = 'http://127.0.0.1:8080'
 _FLAGS = ('--json', '--help', '-h')
-_OPTIONS = ('--router', '--token', '--change-id')
+_OPTIONS = ('--router', '--token', '--change-id', '--log')
 _END = '--'
 
 
@@ -43,6 +43,9 @@
     change_id: Annotated[
         str, cappa.Arg(long='--change-id', help='id of a change, to send it again safely')
     ] = ''
+    logs: Annotated[
+        list[str], cappa.Arg(long='--log', action=cappa.ArgAction.append, help='a log file')
+    ] = dataclasses.field(default_factory=list)
     as_json: Annotated[bool, cappa.Arg(long='--json', help='print JSON for programs')] = False
 
 
@@ -68,7 +71,7 @@
     router = client.Router(parsed.router, parsed.token)
     change_id = parsed.change_id or client.new_change_id()
     if words[0] in list(LOCAL):
-        return LOCAL.find(words[0]).run(Invocation(words, router, change_id))
+        return LOCAL.find(words[0]).run(Invocation(words, router, change_id, parsed.logs))
     if words[0] not in list(COMMANDS):
         known = ', '.join(sorted({*COMMANDS, *LOCAL}))
         raise UserError(f'there is no command {words[0]!r}; there is: {known}')
--- a/packages/operators/src/endivesaddle/operators/local_command.py
+++ b/packages/operators/src/endivesaddle/operators/local_command.py
@@ -9,11 +9,15 @@
 
 
 class Invocation(NamedTuple):
-    """One call of the command line; ``words`` are as the shell gave them, name included."""
+    """One call of the command line; ``words`` are as the shell gave them, name included.
+
+    ``logs`` are the files that were given by ``--log``.
+    """
 
     words: Sequence[str]
     router: Router
     change_id: str
+    logs: Sequence[str] = ()
 
 
 LocalRun = Callable[[Invocation], Reply]
