--- a/packages/daemon/src/endivesaddle/daemon/events.py
+++ b/packages/daemon/src/endivesaddle/daemon/events.py
@@ -17,7 +17,3 @@
 LEFT_OUT = event(
     8010, 'WARNING', 'log_lines_left_out', 'Lines were left out, by event: too many, or no reader.'
 )
-RELOADED = event(8011, 'INFO', 'settings_reloaded', 'The settings file was read again.')
-RELOAD_REFUSED = event(
-    8012, 'ERROR', 'settings_refused', 'The settings file is wrong; the old settings stay.'
-)
--- a/packages/operators/src/endivesaddle/operators/local/explain.py
+++ b/packages/operators/src/endivesaddle/operators/local/explain.py
@@ -24,8 +24,8 @@
         'process_started',
         'routes_in_force',
         'server_withdrawn',
-        'store_lost',
-        'store_regained',
+        'routes_store_lost',
+        'routes_store_regained',
     )
 )
 """Events that change what a router believes; the last of each before the request is shown."""
