Count streams at their most where events have no size; never send a second answer

Found by reading: a plain service's stream cost no output tokens, and a whole answer that a slow caller still read when its time was over was followed by a refusal. Both tests fail without the change.

--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -83,6 +83,21 @@
     Then nothing is set aside
     And the account spent at most 1030 tokens
 
+  Scenario: A stream of a service that does not say how much an event holds
+    Counted as nothing, such streams would overdraw the account.
+    Given a streamed route with 1 attempts, whose servers answers
+    And the service does not say how many tokens an event holds
+    When a request is forwarded
+    Then the account spent 1100 tokens
+
+  Scenario: A caller that still reads when the time is over
+    The whole answer is on its way to a caller that reads slowly.  A second answer behind the
+    first would be taken for the answer to another request.
+    Given a safe route with 1 attempts, whose servers answers
+    And its caller does not read
+    When a request is forwarded
+    Then the caller got 200, and nothing behind it
+
   Scenario: A request that hangs gets its answer when its route's time is over
     Given a unsafe route with 1 attempts, whose servers hangs
     When a request is forwarded
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -16,6 +16,25 @@
     context.add_cleanup(context.runs.close)
 
 
+@given('the service does not say how many tokens an event holds')
+def unsaid(context: Any) -> None:
+    """Declare it anew without."""
+    context.runs.declare_plain()
+
+
+@given('its caller does not read')
+def unread(context: Any) -> None:
+    """Take the head and no more."""
+    context.runs.sink.reads = False
+
+
+@then('the caller got 200, and nothing behind it')
+def one_answer(context: Any) -> None:
+    """A second head would have failed in the sink."""
+    assert context.runs.sink.status == 200, context.runs.sink.status
+    assert context.runs.sink.refusal is None, context.runs.sink.refusal
+
+
 @when('a request is forwarded')
 def forward(context: Any) -> None:
     """Carry one."""
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -184,6 +184,7 @@
         self.status = 0
         self.body = b''
         self.finished = False
+        self.reads = True
         self.refusal: Refusal | None = None
 
     async def start(self, status: int, headers: Pairs) -> None:
@@ -204,6 +205,8 @@
         assert not self.status, 'two heads'
         self.status = status
         self.body = body
+        if not self.reads:
+            await anyio.sleep_forever()
         self.finished = True
 
     async def refuse(self, refusal: Refusal) -> None:
@@ -253,6 +256,12 @@
         """Leave nothing to reserve from: the store is away before anything was granted."""
         self._contact.lost('test')
 
+    def declare_plain(self) -> None:
+        """Declare the service without saying how much an event holds."""
+        services = (Service('engines', 100),)
+        declared = Declared(2, (self.route,), services, (self.account,))
+        self._known.declare(declared, b'', 'test')
+
     def leave(self) -> None:
         """Carry one request whose caller leaves after 50 ms."""
         self._loop.run(self._leave)
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -225,6 +225,9 @@
         return Outcome.DONE
 
     async def _pass_on(self, whole: Whole) -> None:
+        # A caller that reads slowly may still take it when the time is over: the answer
+        # that stands then must not be followed by another.
+        self._progress.started = True
         await self._sink.reply(whole.status, whole.headers, whole.body)
 
     async def _again(self, outcome: Outcome) -> bool:
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -107,10 +107,15 @@
         return allowed
 
     def event_tokens(self, request: ForwardRequest) -> int:
-        """Return the most output tokens in one event of the answer."""
+        """Return the most output tokens in one event of the answer.
+
+        Where the service does not say, one event may be the whole answer: counted as
+        nothing, streams of a plain service would overdraw the account.
+        """
         book = self.known.book
         service = book.services.get(self._service(request)) if book else None
-        return service.event_tokens if service else request.max_tokens
+        said = service.event_tokens if service else 0
+        return said or request.max_tokens
 
     def dump(self) -> dict[str, dict[str, float]]:
         """Return what is known of each server, for operators."""
