Make store calls through sidecars for routers that are cut off from the store

Ruled out: larger headroom, which strands more at each kill. Change: one sidecar beside each backend server answers store calls for routers; a router asks the store itself, and such an instance only while the store does not answer here.

--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -117,11 +117,13 @@
 @then("the settings file becomes the product's settings")
 def node(context: Any) -> None:
     """Compare some fields."""
-    settings = users_platform.read_node(users_platform.NODE)
-    place = settings.forwarder.place
-    assert (place.instance, place.http_listen) == ('edge-1', '10.1.0.40:8227')
-    assert settings.forwarder.forward.retry_slack == 56
-    assert settings.store_address == '10.200.1.7:8223'
+    settings, store_address = users_platform.read_node(users_platform.NODE)
+    assert (settings.place.instance, settings.place.http_listen) == ('edge-1', '10.1.0.40:8227')
+    assert settings.forward.retry_slack == 56
+    assert store_address == '10.200.1.7:8223'
+    sidecar, store_address = users_platform.read_node(users_platform.NODE, 'sidecar')
+    assert (sidecar.listen, sidecar.data_centre) == ('10.1.0.40:7340', 'porto-a')
+    assert store_address == '10.200.1.7:8223'
 
 
 @then('a settings file without "{field}" is refused and named')
--- a/features/subjects/users_platform.py
+++ b/features/subjects/users_platform.py
@@ -66,6 +66,7 @@
 node_name = "edge-1"
 ip = "10.1.0.40"
 zone = "porto-a"
+internal_ports = [7340, 7355]
 seeds = ["10.1.0.40:8229"]
 [bind]
 front = "10.1.0.40:8227"
@@ -167,15 +168,15 @@
         self.memory.fail(down)
 
 
-def read_node(text: str) -> Any:
-    """Read a settings file; return the settings or the error's text."""
+def read_node(text: str, role: str = 'router') -> Any:
+    """Read a settings file for a role; return the settings and the store, or the error's text."""
     node_file = module('node_file')
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'node.toml'
         path.write_text(text)
         os.environ[node_file.NODE_FILE] = str(path)
         try:
-            return node_file.read()
+            return node_file.read(module(role).settings_of)
         except UserError as error:
             return str(error)
 
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -4,8 +4,7 @@
 must last lies in the store.
 """
 
-import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, NamedTuple
 
 import anyio
@@ -17,15 +16,18 @@
 from endivesaddle.daemon import events
 from endivesaddle.daemon.forward_http import SETTLED_S, serve_http
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
+from endivesaddle.daemon.stopping import stop_signal
 from endivesaddle.fleet.clock import Clock, SteadyClock
-from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.ports import Handlers, Peers
 from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.following import Decoder, Follower
 from endivesaddle.fleet.routes.keeping import Keeping
 from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
-from endivesaddle.fleet.routes.roster import Roster
+from endivesaddle.fleet.routes.remote_store import answer_store
+from endivesaddle.fleet.routes.roster import ROUTER, Instance, Roster
 from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.fleet.routes.ways import ReachedStore
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.instances import GrpcPeers
 from endivesaddle.instances import serve as serve_calls
@@ -50,6 +52,7 @@
 class Decisions(NamedTuple):
     """What a router believes and decides with."""
 
+    store: ReachedStore
     known: Known
     contact: Contact
     dispatcher: Dispatcher
@@ -57,15 +60,19 @@
     roster: Roster
 
 
-def decisions(settings: ForwarderSettings, ports: ForwardPorts, clock: Clock) -> Decisions:
+def decisions(
+    settings: ForwarderSettings, ports: ForwardPorts, peers: Peers, clock: Clock
+) -> Decisions:
     """Build the deciding parts of a router."""
     place = settings.place
+    store = ReachedStore(ports.store, peers, clock)
     known = Known()
     contact = Contact(clock)
     dispatcher = Dispatcher(settings.forward, known, clock, place.lifetime)
-    roster = Roster(ports.store, clock, place.lifetime, place.listen)
-    keeping = Keeping(ports.store, known, clock, place.lifetime, lambda: roster.others, contact)
-    return Decisions(known, contact, dispatcher, keeping, roster)
+    own = Instance(ROUTER, place.lifetime, place.listen, settings.forward.forward_data_centre)
+    roster = Roster(store, clock, own)
+    keeping = Keeping(store, known, clock, place.lifetime, lambda: roster.others, contact)
+    return Decisions(store, known, contact, dispatcher, keeping, roster)
 
 
 class Forwarder:
@@ -75,11 +82,12 @@
         """Build all parts; ``run`` starts them."""
         clock = SteadyClock()
         place = settings.place
-        self.parts = decisions(settings, ports, clock)
+        peers = GrpcPeers(settings.links, clock)
+        self.parts = decisions(settings, ports, peers, clock)
         self.links = ForwardLinks(KeptLinks(), ports.dialect, clock)
         self.neighbours = Neighbours(
-            NeighbourParts(*self.parts, ports.decoder, place.seeds),
-            GrpcPeers(settings.links, clock),
+            NeighbourParts(*self.parts[1:], ports.decoder, place.seeds),
+            peers,
             clock,
             place.lifetime,
             place.listen,
@@ -87,14 +95,20 @@
         self._settings = settings
         self._clock = clock
         self._stopping = Stopping()
-        known, contact, dispatcher, keeping, _ = self.parts
-        keeping.borrow = self.neighbours.borrow
-        self._follower = Follower(ports.store, ports.decoder, known, clock, contact)
+        parts = self.parts
+        parts.keeping.borrow = self.neighbours.borrow
+        self._follower = Follower(parts.store, ports.decoder, parts.known, clock, parts.contact)
         self._metrics = ForwardMetrics(self.state)
-        runner = Runner(dispatcher, keeping, self.links, clock)
+        runner = Runner(parts.dispatcher, parts.keeping, self.links, clock)
         self._app = ForwardApp(
             ForwardParts(
-                settings.http, ports.dialect, known, runner, clock, self._metrics, self._stopping
+                settings.http,
+                ports.dialect,
+                parts.known,
+                runner,
+                clock,
+                self._metrics,
+                self._stopping,
             )
         )
 
@@ -102,6 +116,7 @@
         """Serve until a signal says stop, then end what is open."""
         handlers = Handlers()
         self.neighbours.register(handlers)
+        answer_store(handlers, self.parts.store.direct, self._clock)
         async with (
             serve_calls(handlers, self._settings.place.listen, self._settings.links),
             anyio.create_task_group() as group,
@@ -114,32 +129,36 @@
 
     def state(self) -> dict[str, Any]:
         """Return the whole state for operators; ``counters`` are numbers alone."""
-        known, contact, dispatcher, keeping, roster = self.parts
+        parts = self.parts
+        known = parts.known
         return {
             'instance': self._settings.place.instance,
             'lifetime': self._settings.place.lifetime,
-            'routers': roster.others,
-            'shares': keeping.dump(),
-            'servers': dispatcher.dump(),
+            'routers': parts.roster.others,
+            'shares': parts.keeping.dump(),
+            'servers': parts.dispatcher.dump(),
             'counters': {
                 'forward_open': self._app.open_count,
                 'connections_opened': self.links.links.opened_count,
                 'declared_version': known.book.version if known.book else 0,
                 'servers_known': len(known.servers),
-                'store_age_seconds': contact.age_s,
-                'routers_known': len(roster.others) + 1,
-                **dispatcher.counts,
+                'store_age_seconds': parts.contact.age_s,
+                'store_away_here': int(parts.store.away),
+                'sidecars_known': len(parts.roster.sidecars),
+                'routers_known': len(parts.roster.others) + 1,
+                **parts.dispatcher.counts,
             },
         }
 
-    def _running(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
-        return (
+    def _running(self) -> Iterable[Callable[[], Coroutine[Any, Any, None]]]:
+        return [
             self._follower.run,
+            self.parts.store.run,
             self.parts.roster.run,
             self.neighbours.run,
             self.parts.keeping.run,
             self._tend,
-        )
+        ]
 
     async def _serve(self) -> None:
         """Take requests and health checks from the start to the end of a stop."""
@@ -152,7 +171,7 @@
             serving.start_soon(serve_http, ready, place.ready_listen, http, known, closed)
             serving.start_soon(serve_http, self._metrics, place.metrics_listen, http, known, closed)
             events.STARTED.log(address=place.listen, http_address=place.http_listen)
-            await _stop_signal()
+            await stop_signal()
             await self._stop()
             closed.set()
 
@@ -176,18 +195,12 @@
         (events.CUT if cut else events.DRAINED).log(instance=self._settings.place.instance)
 
     async def _tend(self) -> None:
-        """Forget servers that are gone."""
+        """Forget servers that are gone, and pass on who may reach the store."""
         links = self.links.links
         while True:
             await anyio.sleep(TEND_S)
+            self.parts.store.relays = self.parts.roster.relays
             present = set(self.parts.known.servers)
             self.parts.dispatcher.lanes.drop_all_but(present)
             for lifetime in links.lifetimes() - present:
                 await links.drop(lifetime)
-
-
-async def _stop_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
-        async for number in received:
-            if number is not signal.SIGHUP:
-                return
--- a/packages/fleet/src/endivesaddle/fleet/ports.py
+++ b/packages/fleet/src/endivesaddle/fleet/ports.py
@@ -26,7 +26,7 @@
     version: int
 
 
-class Store(Protocol):
+class KeyStore(Protocol):
     """The platform's key-value service: one key at a time, never several.
 
     Every call raises ``StoreUnreachable`` where nothing took effect; writes
@@ -55,6 +55,10 @@
     async def keep_alive(self, lease_id: int, deadline_unix_s: float) -> bool:
         """Extend a lease; False when it has lapsed."""
 
+
+class Store(KeyStore, Protocol):
+    """The same service, where it also tells of changes."""
+
     def watch(self, prefix: str, after_version: int) -> AsyncIterator[Stored]:
         """Yield what is written under ``prefix`` after a version, until it breaks.
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/events.py
@@ -10,18 +10,10 @@
 DOCUMENT_BAD = event(
     4604, 'ERROR', 'declarations_unreadable', 'a stored declaration could not be read; ignored'
 )
-STORE_LOST = event(
-    4605, 'WARNING', 'routes_store_lost', 'the store did not answer; what is known stays'
-)
-STORE_BACK = event(4606, 'INFO', 'routes_store_regained', 'the store answers again')
 GRANT = event(1501, 'INFO', 'grant_changed', "this router's share of an account's total changed")
 GRANT_SHORT = event(
     1502, 'INFO', 'grant_short', 'a request did not fit into what the account has left here'
 )
-ROSTER = event(4607, 'INFO', 'routers_known', 'the routers that share budgets and repeats changed')
-ROSTER_LOST = event(
-    4608, 'INFO', 'routers_unrefreshed', 'the store does not tell of routers; the known ones stay'
-)
 FACTS = event(
     4609, 'INFO', 'facts_from_router', 'another router told what the store does not tell here'
 )
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -22,9 +22,11 @@
 """One poll waits so long for a change.
 
 Each poll is a call that the store counts; with the answer's time a silent connection
-is still noticed 0.3 s before a change has to be in force."""
-ANSWER_S = 0.35
-"""Beyond the wait, an answer may take so long before the connection counts as silent."""
+is still noticed 0.2 s before a change has to be in force."""
+ANSWER_S = 0.5
+"""Beyond the wait, an answer may take so long before the connection counts as silent.
+
+A slow store takes up to 0.35 s for an answer; with that as the limit it counted as lost."""
 PAUSE_S = 0.1
 """Between tries while the store does not answer: ten a second for each router at most."""
 LAPSE_S = 1.6
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -11,7 +11,7 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
-from endivesaddle.fleet.ports import Store
+from endivesaddle.fleet.ports import KeyStore
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import RouteAccount
 from endivesaddle.fleet.routes.grants import Record, Records, Share, decode, encode
@@ -89,7 +89,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: KeyStore,
         known: Known,
         clock: Clock,
         lifetime: str,
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.routes import events
+from endivesaddle.fleet.routes import events, store_events
 from endivesaddle.fleet.routes.book import RouteBook
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
 
@@ -94,13 +94,13 @@
         if self.away:
             self.away = False
             self.regained_unix_s = self.heard_unix_s
-            events.STORE_BACK.log()
+            store_events.STORE_BACK.log()
 
     def lost(self, reason: str) -> None:
         """Note a call without an answer."""
         if not self.away:
             self.away = True
-            events.STORE_LOST.log(reason=reason, heard_unix_s=self.heard_unix_s)
+            store_events.STORE_LOST.log(reason=reason, heard_unix_s=self.heard_unix_s)
 
     @property
     def age_s(self) -> float:
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -141,6 +141,8 @@
         reply = routers_pb2.WordReply(word=self._word())
         if known.book is not None and asked.version < known.book.version:
             reply.document = known.document
+        if asked.wants_facts:
+            reply.sidecars.extend(self._parts.roster.sidecars)
         if asked.wants_facts and self._parts.contact.age_s < FRESH_S:
             reply.servers_told = True
             reply.servers.extend(_server_word(server) for server in known.servers.values())
@@ -160,6 +162,9 @@
         parts = self._parts
         if reply.document:
             self._declare(reply, address)
+        if not parts.roster.sidecars:
+            # A router that starts while it is cut off learns of them here alone.
+            parts.roster.sidecars = tuple(reply.sidecars)
         if not reply.servers_told or not parts.contact.away:
             return
         before = set(parts.known.servers)
--- a/packages/fleet/src/endivesaddle/fleet/routes/roster.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/roster.py
@@ -1,18 +1,26 @@
-"""Who else forwards: each router's entry in the store, kept by a lease."""
+"""Who else is there: each instance's entry in the store, kept by a lease."""
+
+from typing import NamedTuple
 
 import anyio
 import msgspec
+import xxhash
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
-from endivesaddle.fleet.ports import Store
-from endivesaddle.fleet.routes import events
+from endivesaddle.fleet.routes import store_events as events
+from endivesaddle.fleet.routes.remote_store import ForwardStore
 
-PREFIX = 'endivesaddle/routers/'
+PREFIX = 'endivesaddle/live/'
+ROUTER = 'router'
+SIDECAR = 'sidecar'
 LEASE_S = 25
-"""An entry outlives its router by this, and an outage of the store of up to 20 s."""
+"""A router's entry outlives it by this, and an outage of the store of up to 20 s."""
 RENEW_S = 4.0
 """Between renewals, each with a look for others."""
+SIDECAR_LEASE_S = 90
+"""A sidecar that is gone costs a router one call that fails; renewals cost all day."""
+SIDECAR_RENEW_S = 25.0
 HEARD_S = 3.0
 """A router that talked here so lately is there, whatever the store says."""
 FIRST_LOOKS = 3
@@ -22,25 +30,76 @@
 AWAY_S = 0.5
 
 
+class Instance(NamedTuple):
+    """One life of an instance, and where others reach it ("ip:port")."""
+
+    role: str
+    lifetime: str
+    address: str
+    data_centre: str
+
+
+class Entry:
+    """This instance's own entry in the store."""
+
+    def __init__(
+        self, store: ForwardStore, clock: Clock, own: Instance, lease_s: int = LEASE_S
+    ) -> None:
+        """Enter ``own``; the entry outlives it by ``lease_s``."""
+        self.own = own
+        self._store = store
+        self._clock = clock
+        self._lease_s = lease_s
+        self._lease_id = 0
+
+    async def keep(self) -> None:
+        """Renew the entry, or enter; raises what the store raises."""
+        deadline_unix_s = self._clock.now_s() + CALL_S
+        if self._lease_id and await self._store.keep_alive(self._lease_id, deadline_unix_s):
+            return
+        lease_id = await self._store.grant(self._lease_s, deadline_unix_s)
+        key = f'{PREFIX}{self.own.role}/{self.own.lifetime}'
+        value = msgspec.json.encode(self.own)
+        # A conflict tells that an earlier try, whose answer was lost, has entered this life.
+        await self._store.swap(key, value, 0, deadline_unix_s, lease_id)
+        self._lease_id = lease_id
+
+    async def run(self, renew_s: float) -> None:
+        """Keep the entry until cancelled, without looking for others."""
+        while True:
+            try:
+                await self.keep()
+            except (StoreUnreachable, StoreUnsure) as error:
+                events.ENTRY_UNKEPT.log(reason=str(error))
+                await anyio.sleep(AWAY_S)
+                continue
+            await anyio.sleep(renew_s)
+
+
 class Roster:
-    """The other routers by lifetime, and this one's own entry."""
+    """The other routers by lifetime, the sidecars, and this router's own entry."""
 
-    def __init__(self, store: Store, clock: Clock, lifetime: str, address: str) -> None:
-        """Enter ``lifetime`` with the address at which other routers reach it."""
+    def __init__(self, store: ForwardStore, clock: Clock, own: Instance) -> None:
+        """Enter ``own`` and look for others."""
         self.others: dict[str, str] = {}
+        self.sidecars: tuple[str, ...] = ()
+        self._entry = Entry(store, clock, own)
         self._heard: dict[str, float] = {}
         self._store = store
         self._clock = clock
-        self._lifetime = lifetime
-        self._address = address
-        self._lease_id = 0
+        self._own = own
+
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """Addresses of all that may reach the store for this router, sidecars first."""
+        return (*self.sidecars, *sorted(self.others.values()))
 
     async def run(self) -> None:
         """Keep the entry and look for others until cancelled."""
         looks = 0
         while True:
             try:
-                await self._keep()
+                await self._entry.keep()
                 await self._look()
                 looks += 1
             except (StoreUnreachable, StoreUnsure) as error:
@@ -52,36 +111,39 @@
 
     def heard(self, lifetime: str, address: str) -> None:
         """Take in a router that made itself known by a call."""
-        if lifetime != self._lifetime:
+        if lifetime != self._own.lifetime:
             self._heard[lifetime] = self._clock.now_s()
             _enter(self.others, lifetime, address)
 
-    async def _keep(self) -> None:
-        deadline_unix_s = self._clock.now_s() + CALL_S
-        if self._lease_id and await self._store.keep_alive(self._lease_id, deadline_unix_s):
-            return
-        self._lease_id = await self._store.grant(LEASE_S, deadline_unix_s)
-        key = PREFIX + self._lifetime
-        stored = await self._store.read(key, deadline_unix_s)
-        version = getattr(stored, 'version', 0)
-        value = msgspec.json.encode(self._address)
-        await self._store.swap(key, value, version, deadline_unix_s, self._lease_id)
-
     async def _look(self) -> None:
-        found = await self._store.list(PREFIX, self._clock.now_s() + CALL_S)
+        found = await self._store.glance(PREFIX, self._clock.now_s() + CALL_S)
+        entries = [
+            msgspec.json.decode(stored.value, type=Instance)
+            for stored in sorted(found, key=lambda stored: stored.version)
+            if stored.value is not None
+        ]
         others: dict[str, str] = {}
-        by_age = sorted(found, key=lambda entry: entry.version)
-        for entry in by_age:
-            if entry.value is not None:
-                _enter(others, entry.key.removeprefix(PREFIX), msgspec.json.decode(entry.value))
+        for router in entries:
+            if router.role == ROUTER:
+                _enter(others, router.lifetime, router.address)
         latest_unix_s = self._clock.now_s() - HEARD_S
         for lifetime, address in self.others.items():
             if self._heard.get(lifetime, 0) > latest_unix_s:
                 _enter(others, lifetime, address)
-        others.pop(self._lifetime, None)
+        others.pop(self._own.lifetime, None)
         if others.keys() != self.others.keys():
             events.ROSTER.log(routers=len(others) + 1)
         self.others = others
+        self._learn_sidecars([entry for entry in entries if entry.role == SIDECAR])
+
+    def _learn_sidecars(self, entries: list[Instance]) -> None:
+        """Order the sidecars: those of this data centre first, and not all routers alike."""
+        addresses = [entry.address for entry in sorted(entries, key=self._distance)]
+        self.sidecars = tuple(dict.fromkeys(addresses))
+
+    def _distance(self, entry: Instance) -> tuple[bool, int]:
+        far = entry.data_centre != self._own.data_centre
+        return far, xxhash.xxh3_64_intdigest(f'{self._own.lifetime}/{entry.lifetime}'.encode())
 
 
 def _enter(others: dict[str, str], lifetime: str, address: str) -> None:
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routes/ways.py
@@ -0,0 +1,170 @@
+"""Reach the store: directly, or through another instance while it does not answer here.
+
+Failure: routers are cut off from the store for 7 to 9 s, each alone or all at once, while
+they still reach the other instances.  What they had been granted ran out, and requests were
+refused with most of the total free.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+import anyio
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
+from endivesaddle.fleet.ports import Peers, Stored
+from endivesaddle.fleet.routes import store_events as events
+from endivesaddle.fleet.routes.following import Changes
+from endivesaddle.fleet.routes.remote_store import ForwardStore, RemoteStore
+from endivesaddle.fleet.sentinels import Absent, Conflict
+
+PROBE_S = 0.8
+"""Between looks whether the store answers here again; each is a call that the store counts."""
+PROBE_CALL_S = 0.5
+"""The store answers in 4 ms, a slow one in some 0.35 s; a later answer is none."""
+PROBED_KEY = 'endivesaddle/probe'
+"""A key that nobody writes: that it is absent is an answer too."""
+RELAY_AGAIN_S = 2.0
+"""A relay that failed is passed over for this long."""
+RELAYS_TRIED = 2
+"""Relays that one call may try, the last that worked first."""
+
+Outcome = TypeVar('Outcome')
+Call = Callable[[ForwardStore], Awaitable[Outcome]]
+
+
+class ReachedStore:
+    """The store by the ways that this router has; it is used like the store itself."""
+
+    def __init__(self, direct: ForwardStore, peers: Peers, clock: Clock) -> None:
+        """Prefer ``direct``; ``relays`` are addresses, the nearest first."""
+        self.relays: Sequence[str] = ()
+        self.direct = direct
+        self.away = False
+        self._peers = peers
+        self._clock = clock
+        self._relay = ''
+        self._failed_until_unix_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """While the store does not answer here, look whether it does again, until cancelled."""
+        while True:
+            await anyio.sleep(PROBE_S)
+            if self.away:
+                await self._probe()
+
+    async def read(self, key: str, deadline_unix_s: float) -> Stored | Absent:
+        """Return the value of one key."""
+        return await self._reach(lambda way: way.read(key, deadline_unix_s), deadline_unix_s)
+
+    async def list(self, prefix: str, deadline_unix_s: float) -> Sequence[Stored]:
+        """Return the values of all keys that start with ``prefix``, sorted."""
+        return await self._reach(lambda way: way.list(prefix, deadline_unix_s), deadline_unix_s)
+
+    async def glance(self, prefix: str, deadline_unix_s: float) -> Sequence[Stored]:
+        """List as ``list`` does, cheaply: what is told may be seconds old."""
+        return await self._reach(lambda way: way.glance(prefix, deadline_unix_s), deadline_unix_s)
+
+    async def scan(self, prefix: str, deadline_unix_s: float) -> Changes:
+        """Return all that lies under a prefix, and the version from which to follow."""
+        return await self._reach(lambda way: way.scan(prefix, deadline_unix_s), deadline_unix_s)
+
+    async def poll(
+        self, prefix: str, after_version: int, wait_s: float, deadline_unix_s: float
+    ) -> Changes | Absent:
+        """Return what changed, waiting for it; Absent where that history is dropped."""
+        return await self._reach(
+            lambda way: way.poll(prefix, after_version, wait_s, deadline_unix_s), deadline_unix_s
+        )
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes,
+        expected_version: int,
+        deadline_unix_s: float,
+        lease_id: int = 0,
+    ) -> Stored | Conflict:
+        """Write if the key still has ``expected_version`` (0: must not exist)."""
+        return await self._reach(
+            lambda way: way.swap(key, value, expected_version, deadline_unix_s, lease_id),
+            deadline_unix_s,
+        )
+
+    async def grant(self, ttl_s: int, deadline_unix_s: float) -> int:
+        """Return the id of a new lease."""
+        return await self._reach(lambda way: way.grant(ttl_s, deadline_unix_s), deadline_unix_s)
+
+    async def keep_alive(self, lease_id: int, deadline_unix_s: float) -> bool:
+        """Extend a lease; False when it has lapsed."""
+        return await self._reach(
+            lambda way: way.keep_alive(lease_id, deadline_unix_s), deadline_unix_s
+        )
+
+    async def _reach(self, call: Call[Outcome], deadline_unix_s: float) -> Outcome:
+        """Make a call by the first way that answers; a write that may be done is not repeated."""
+        if not self.away or not self.relays:
+            try:
+                return await call(self.direct)
+            except (StoreUnreachable, StoreUnsure) as error:
+                self._lost(str(error))
+                if isinstance(error, StoreUnsure) or self._late(deadline_unix_s):
+                    raise
+        return await self._relayed(call, deadline_unix_s)
+
+    async def _relayed(self, call: Call[Outcome], deadline_unix_s: float) -> Outcome:
+        reason = 'no other instance reaches the store'
+        for address in self._relays_now():
+            try:
+                outcome = await call(RemoteStore(address, self._peers, self._clock))
+            except StoreUnreachable as error:
+                reason = str(error)
+            except StoreUnsure:
+                self._relay_failed(address)
+                raise
+            else:
+                self._relay_works(address)
+                return outcome
+            self._relay_failed(address)
+            if self._late(deadline_unix_s):
+                break
+        raise StoreUnreachable(reason)
+
+    def _relays_now(self) -> Sequence[str]:
+        now_unix_s = self._clock.now_s()
+        usable = [
+            address
+            for address in self.relays
+            if self._failed_until_unix_s.get(address, 0) <= now_unix_s
+        ]
+        usable.sort(key=lambda address: address != self._relay)
+        return usable[:RELAYS_TRIED]
+
+    def _relay_failed(self, address: str) -> None:
+        self._failed_until_unix_s[address] = self._clock.now_s() + RELAY_AGAIN_S
+        if address == self._relay:
+            events.RELAY_LOST.log(relay=address)
+            self._relay = ''
+
+    def _relay_works(self, address: str) -> None:
+        if address != self._relay:
+            events.RELAY.log(relay=address, relays=len(self.relays))
+            self._relay = address
+
+    def _lost(self, reason: str) -> None:
+        if not self.away:
+            events.DIRECT_LOST.log(reason=reason, relays=len(self.relays))
+            self.away = True
+
+    def _late(self, deadline_unix_s: float) -> bool:
+        return self._clock.now_s() >= deadline_unix_s
+
+    async def _probe(self) -> None:
+        try:
+            await self.direct.glance(PROBED_KEY, self._clock.now_s() + PROBE_CALL_S)
+        except StoreUnreachable:
+            # Each failure says no more than the one before; the first was logged.
+            return
+        self.away = False
+        self._relay = ''
+        events.DIRECT_BACK.log(relays=len(self.relays))
--- a/packages/stand_ins/src/endivesaddle/stand_ins/memory_store.py
+++ b/packages/stand_ins/src/endivesaddle/stand_ins/memory_store.py
@@ -99,6 +99,10 @@
                     yield stored
             await self._changed.wait()
 
+    async def glance(self, prefix: str, deadline_unix_s: float) -> Sequence[Stored]:
+        """List, never older than now."""
+        return await self.list(prefix, deadline_unix_s)
+
     async def scan(self, prefix: str, deadline_unix_s: float) -> Changes:
         """Return all that lies under a prefix, and the version from which to follow."""
         return Changes(await self.list(prefix, deadline_unix_s), self._version)
--- a/packages/wire/src/endivesaddle/wire/routers_grpc.py
+++ b/packages/wire/src/endivesaddle/wire/routers_grpc.py
@@ -22,6 +22,10 @@
     async def Lend(self, stream: 'grpclib.server.Stream[routers_pb2.LendRequest, routers_pb2.LendReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Store(self, stream: 'grpclib.server.Stream[routers_pb2.StoreAsk, routers_pb2.StoreReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/endivesaddle.routers.Routers/Exchange': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 routers_pb2.LendRequest,
                 routers_pb2.LendReply,
             ),
+            '/endivesaddle.routers.Routers/Store': grpclib.const.Handler(
+                self.Store,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                routers_pb2.StoreAsk,
+                routers_pb2.StoreReply,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             routers_pb2.LendRequest,
             routers_pb2.LendReply,
         )
+        self.Store = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/endivesaddle.routers.Routers/Store',
+            routers_pb2.StoreAsk,
+            routers_pb2.StoreReply,
+        )
--- a/packages/wire/src/endivesaddle/wire/rpcs.py
+++ b/packages/wire/src/endivesaddle/wire/rpcs.py
@@ -50,10 +50,11 @@
 
 WORD = Rpc(f'{_ROUTERS}Exchange', routers_pb2.Word, routers_pb2.WordReply)
 LEND = Rpc(f'{_ROUTERS}Lend', routers_pb2.LendRequest, routers_pb2.LendReply)
+STORE = Rpc(f'{_ROUTERS}Store', routers_pb2.StoreAsk, routers_pb2.StoreReply)
 
 ALL = (
     CLAIM, ASK, NOTE, SETTLE, COPY, FIND, TRANSFER, SEAL_CLAIMS,
     START, FOLLOW, CANCEL, DRAIN, ORDER, REPORT, SEAL_RUNS,
     BEAT, EXCHANGE, PUSH, PULL, DUMP,
-    WORD, LEND,
+    WORD, LEND, STORE,
 )  # fmt: skip
