--- a/packages/daemon/src/endivesaddle/daemon/cli.py
+++ b/packages/daemon/src/endivesaddle/daemon/cli.py
@@ -20,6 +20,14 @@
 cappa.command(SidecarSettings, name='sidecar', help='Run the process beside a backend server.')
 
 
+@cappa.command(name='check', help='Check the settings of a process without starting it.')
+@dataclasses.dataclass
+class Check:
+    """The settings to check: flags and variables as the process would get them."""
+
+    command: cappa.Subcommands[RouterSettings | SidecarSettings]
+
+
 @cappa.command(
     name='endivesaddled',
     help='Run a process of the fleet. Each flag has a variable, named behind it.',
@@ -28,7 +36,7 @@
 class Daemon:
     """The whole command."""
 
-    command: cappa.Subcommands[RouterSettings | SidecarSettings]
+    command: cappa.Subcommands[RouterSettings | SidecarSettings | Check]
 
 
 def main() -> None:
@@ -38,7 +46,11 @@
         error_format='endivesaddled: {message}',
     )
     try:
-        anyio.run(_run, cappa.parse(Daemon, output=output).command)
+        command = cappa.parse(Daemon, output=output).command
+        if isinstance(command, Check):
+            sys.stdout.write(f'the settings of {command.command.place.instance} are good\n')
+            return
+        anyio.run(_run, command)
     except* UserError as errors:
         # It comes out of task groups, wrapped once for each.
         sys.stderr.write(f'endivesaddled: {_innermost(errors)}\n')
