Write a grant once more when its answer was lost, so that it can be used

Cause: a write whose answer was lost left the wanted grant on record and less believed here; the next try found the record as wanted, wrote nothing, and refused the same request again until what was wanted changed. Found in reading; shares.feature fails without the change.

--- a/features/shares.feature
+++ b/features/shares.feature
@@ -101,3 +101,13 @@
     When 60 requests of 12000 tokens arrive together at router 0
     Then all of them are admitted
     And they took at most 2 writes
+
+  Scenario: A grant whose answer was lost is used by the next try
+    The store made the write, its answer was lost, and the caller comes back with the same
+    request.  What the router wants is on record by now; it has to write once more all the
+    same, since a write of its own that is still under way could shrink the grant later.
+    Given 1 routers that share a total of 1000000 tokens
+    When the store loses the answers to 9 writes
+    And a request of 400000 tokens is refused at router 0
+    And the store loses the answers to 0 writes
+    Then a request of 400000 tokens is admitted at router 0
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -169,6 +169,25 @@
     assert refusal.code == code, refusal
 
 
+@when('the store loses the answers to {count:d} writes')
+def lose(context: Any, count: int) -> None:
+    """Lose them from now on."""
+    context.shares.store.lose_answers = count
+
+
+@when('a request of {tokens:d} tokens is refused at router {router:d}')
+def is_refused(context: Any, tokens: int, router: int) -> None:
+    """Ask for it."""
+    assert isinstance(context.shares.hold(router, tokens), Refusal)
+
+
+@then('a request of {tokens:d} tokens is admitted at router {router:d}')
+def is_admitted(context: Any, tokens: int, router: int) -> None:
+    """Ask for it."""
+    answer = context.shares.hold(router, tokens)
+    assert not isinstance(answer, Refusal), answer
+
+
 @then('a request for {tokens:d} tokens is refused as {code}')
 def request_refused_as(context: Any, tokens: int, code: str) -> None:
     """Ask for so many and look at the answer."""
--- a/features/subjects/check_settings.py
+++ b/features/subjects/check_settings.py
@@ -10,6 +10,9 @@
 """The command takes a second; on a machine with other work, more."""
 
 
+GOOD = 'router --instance r --data-centre a --store-urls etcd+http://127.0.0.1:1'
+
+
 class Checked(NamedTuple):
     """How the command ended."""
 
@@ -34,6 +37,4 @@
     """Check settings with an address that this process listens on."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
         port = listener.getsockname()[1]
-        return check(
-            f'router --instance r --data-centre a --store-urls etcd+http://127.0.0.1:1 --listen 127.0.0.1:{port}'
-        )
+        return check(f'{GOOD} --listen 127.0.0.1:{port}')
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeping.py
@@ -340,7 +340,7 @@
                 key.read = False
             # Compared with the store and not with what is believed here: a grant that shrinks
             # is given up before its write, which another router's may have forestalled.
-            elif self._stored(key) == wanted or await self._swap(key, wanted):
+            elif self._settled(key, wanted) or await self._swap(key, wanted):
                 return
 
     def _wanted(self, key: _Key) -> dict[str, int]:
@@ -351,8 +351,16 @@
             for name, share in self._of_key(key)
         }
 
-    def _stored(self, key: _Key) -> dict[str, int]:
-        return {name: share.stored(key.records.get(name)) for name, share in self._of_key(key)}
+    def _settled(self, key: _Key, wanted: dict[str, int]) -> bool:
+        """Tell whether the grants that are wanted are on record, and used here.
+
+        One that is on record and not used comes of a write whose answer was lost: until
+        another write has taken its place, a still older one could shrink it.
+        """
+        return all(
+            share.stored(key.records.get(name)) == wanted[name] == share.granted
+            for name, share in self._of_key(key)
+        )
 
     async def _read(self, key: _Key) -> None:
         stored = await self._store.read(key.name, self._clock.now_s() + CALL_S)
