--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -33,7 +33,7 @@
 NEAR_S = 1.5
 """So many seconds of its use a router holds itself; the rest lies with a sidecar.
 
-The store writes a grant within 0.6 s, sidecars answer within a millisecond."""
+A cut from the store is noticed after 0.6 s, and a write has 0.6 s for its answer."""
 UNUSED_SHARE = 0.12
 """All routers together hold so much of what is left of an account not used anywhere yet."""
 IDLE_SHARE = 0.02
--- a/packages/fleet/src/endivesaddle/fleet/routing/placing.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/placing.py
@@ -17,7 +17,7 @@
 """A server in another data centre costs bytes, and its link may lose packets.
 
 Two days without load beside them: a fifth fewer bytes between data centres at the larger
-site (0.013, 0.010 GB) than with 2 ms, no later first events."""
+site (0.013, 0.010 GB) than with 2 ms, and no less worth (first events not compared)."""
 HOME_TRUST = 0.3
 """How far a shared part is believed to lie at its home when no router told of it: mostly it
 was never read, and the home keeps two routers from reading it at two servers at once."""
