--- a/features/placing.feature
+++ b/features/placing.feature
@@ -38,6 +38,14 @@
     Then at most a third as many are late when large prompts are told at once as when not
     And at most 3 of 100 are late when large prompts are told at once
 
+  Scenario: Many routers with few requests each don't all take the engine that was idle last
+    Each of 22 routers has four prompts a second, and hears of the others once in a second.
+    One engine begins to read a long prompt; until the next word the other routers send theirs
+    behind it.  The sidecar beside the engine knows, and is asked for each prompt.
+    When 21 engines and 22 routers carry 90 prompts a second for 40 seconds, hearing of each other late
+    Then at most a third as many are late when the sidecars beside the engines are asked
+    And at most 5 of 100 are late when they are asked
+
   Scenario: A server that fails is met less often, and again when it is mended
     When one of 3 plain servers fails all its requests for 5 seconds
     Then it is met by at most 10 of 100 requests while it fails
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -9,6 +9,7 @@
 from endivesaddle.fleet.routing.placing import Setting, least_busy, placing_policies
 from subjects.placing import PlacingLoad
 from subjects.placing_bursts import BurstLoad
+from subjects.placing_desks import DeskLoad
 
 PER_S = 30
 FAILING_S = 5
@@ -79,6 +80,33 @@
     assert load.late <= load.count * most / HUNDRED, load.late
 
 
+@when(
+    '{engines:d} engines and {routers:d} routers carry {per_s:d} prompts a second '
+    'for {seconds:d} seconds, hearing of each other late'
+)
+def carry_late(context: Any, engines: int, routers: int, per_s: int, seconds: int) -> None:
+    """Replay them with and without sidecars beside the engines."""
+    context.asked = {}
+    for asked in (False, True):
+        load = DeskLoad(engines, routers, asked)
+        load.play(per_s, seconds)
+        context.asked[asked] = load
+
+
+@then('at most a third as many are late when the sidecars beside the engines are asked')
+def third_asked(context: Any) -> None:
+    """Compare late first tokens."""
+    counts = context.asked[True].late, context.asked[False].late
+    assert counts[0] <= counts[1] / 3, (counts, context.asked[True].count)
+
+
+@then('at most {most:d} of 100 are late when they are asked')
+def few_asked(context: Any, most: int) -> None:
+    """Look at the share."""
+    load = context.asked[True]
+    assert load.late <= load.count * most / HUNDRED, (load.late, load.count)
+
+
 @when('one of 3 plain servers fails all its requests for {seconds:d} seconds')
 def fail(context: Any, seconds: int) -> None:
     """Send steadily; note who is met while it fails and after."""
--- /dev/null
+++ b/features/subjects/placing_desks.py
@@ -0,0 +1,112 @@
+"""Subject: many routers before many engines, which hear of each other once a second.
+
+Each prompt is placed by ``choose``, with the sidecars beside the engines or without them.
+Words to the sidecars arrive at once; they are milliseconds, prompts tens of milliseconds.
+"""
+
+from random import Random
+
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routing.choosing import Desks, NoDesks, choose
+from endivesaddle.fleet.routing.engine_desk import EngineDesk, Load, Word
+from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
+from endivesaddle.fleet.routing.placing import Setting, placing_policies
+from subjects.links_loop import ScenarioLoop
+
+TALK_S = 1.05
+READ_TOKENS_PER_S = 38_700.0
+MEAN_TOKENS = 3000
+SPREAD = 1.1
+MOST_TOKENS = 45_000
+GOAL_S = 0.8
+
+
+class Told:
+    """One router's way to the sidecars beside the engines."""
+
+    def __init__(self, load: 'DeskLoad', router: int) -> None:
+        """Ask for ``router``."""
+        self._load = load
+        self._router = router
+
+    async def ask(self, lane: Lane, tokens: int, most_tokens: int) -> bool:
+        """Ask the desk of the engine."""
+        desk = self._load.desks[lane.server.lifetime]
+        taken_up = desk.ask(self._word(lane), tokens, most_tokens, self._load.now_unix_s)
+        self._hear(desk, lane)
+        return taken_up
+
+    def changed(self, lane: Lane, soon: bool) -> None:
+        """Tell the desk of the engine."""
+        self._load.desks[lane.server.lifetime].tell(self._word(lane), self._load.now_unix_s)
+
+    def _hear(self, desk: EngineDesk, lane: Lane) -> None:
+        others = desk.others(str(self._router), self._load.now_unix_s)
+        lane.heard(others.in_flight, others.reading_tokens, self._load.now_unix_s)
+
+    def _word(self, lane: Lane) -> Word:
+        self._load.words += 1
+        load = Load(lane.own_reading_tokens, lane.own_in_flight)
+        return Word(str(self._router), self._load.words, load)
+
+
+class DeskLoad:
+    """Engines that read one prompt after the other, and routers with lanes of their own."""
+
+    def __init__(self, engines: int, routers: int, asked: bool) -> None:
+        """Start idle; ``asked`` puts sidecars beside the engines."""
+        servers = [RouteServer(f'life-{n}', 'engines', f'{n}:1', 'a', 64) for n in range(engines)]
+        self.desks = {server.lifetime: EngineDesk() for server in servers}
+        self.words = 0
+        self.now_unix_s = 0.0
+        self.late = 0
+        self.count = 0
+        self._free_unix_s = dict.fromkeys(self.desks, 0.0)
+        self._routers = [[Lane(server) for server in servers] for _ in range(routers)]
+        self._ways: list[Desks] = [Told(self, n) if asked else NoDesks() for n in range(routers)]
+        self._waiting: list[tuple[float, int, Lane, ForwardWant]] = []
+        self._talk_unix_s = 0.0
+
+    def play(self, per_s: float, seconds: float) -> None:
+        """Send prompts at random times, each at a router at random."""
+        loop = ScenarioLoop()
+        random = Random(3)
+        while self.now_unix_s < seconds:
+            self.now_unix_s += random.expovariate(per_s)
+            self._began()
+            self._talk()
+            tokens = int(min(MOST_TOKENS, MEAN_TOKENS * random.lognormvariate(-0.6, SPREAD)))
+            loop.run(self._send, random.randrange(len(self._routers)), tokens)
+        loop.close()
+
+    async def _send(self, router: int, tokens: int) -> None:
+        want = ForwardWant(str(self.count), 'engines', ((f'o{self.count}', tokens),), tokens, 100)
+        setting = Setting(want, self._routers[router], 'a', True, self.now_unix_s, self.count)
+        policy = placing_policies.find('earliest_first_event')
+        lane = await choose(setting, policy, self._ways[router])
+        lane.sent(want, self.now_unix_s)
+        name = lane.server.lifetime
+        start_unix_s = max(self.now_unix_s, self._free_unix_s[name])
+        self._free_unix_s[name] = start_unix_s + tokens / READ_TOKENS_PER_S
+        self._waiting.append((self._free_unix_s[name], router, lane, want))
+        self.count += 1
+        self.late += self._free_unix_s[name] - self.now_unix_s > GOAL_S
+
+    def _began(self) -> None:
+        for first_unix_s, router, lane, want in self._waiting:
+            if first_unix_s <= self.now_unix_s:
+                lane.ended(want)
+                self._ways[router].changed(lane, soon=True)
+        self._waiting = [entry for entry in self._waiting if entry[0] > self.now_unix_s]
+
+    def _talk(self) -> None:
+        if self.now_unix_s < self._talk_unix_s:
+            return
+        self._talk_unix_s = self.now_unix_s + TALK_S
+        for number, _ in enumerate(self.desks):
+            lanes = [lanes[number] for lanes in self._routers]
+            requests = sum(lane.own_in_flight for lane in lanes)
+            tokens = sum(lane.own_reading_tokens for lane in lanes)
+            for lane in lanes:
+                lane.elsewhere = requests - lane.own_in_flight
+                lane.elsewhere_reading = tokens - lane.own_reading_tokens
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -20,6 +20,7 @@
 from endivesaddle.daemon.stopping import stop_signal
 from endivesaddle.fleet.clock import SteadyClock
 from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.desks import SidecarDesks
 from endivesaddle.fleet.routes.following import Follower
 from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
 from endivesaddle.fleet.routes.remote_store import answer_store
@@ -57,6 +58,10 @@
             place.lifetime,
             place.listen,
         )
+        self._desks = SidecarDesks(
+            self.parts.dispatcher.lanes, self.parts.roster, peers, clock, place.lifetime
+        )
+        self.parts.dispatcher.desks = self._desks
         self._settings = settings
         self._clock = clock
         self._stopping = Stopping()
@@ -125,6 +130,7 @@
             self.neighbours.run,
             self.parts.keeper.run,
             self.parts.wallet.run,
+            self._desks.run,
             self._tend,
         ]
 
@@ -178,6 +184,7 @@
         while True:
             await anyio.sleep(TEND_S)
             self.parts.store.relays = self.parts.roster.relays
+            self.parts.store.hubs = self.parts.roster.hubs
             self.parts.wallet.routers = len(self.parts.roster.others) + 1
             present = set(self.parts.known.servers)
             self.parts.dispatcher.lanes.drop_all_but(present)
--- a/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
+++ b/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
@@ -16,6 +16,7 @@
 from endivesaddle.fleet import settings as options
 from endivesaddle.fleet.clock import SteadyClock
 from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.desks import answer_desk
 from endivesaddle.fleet.routes.grant_group import KeeperLife
 from endivesaddle.fleet.routes.keeper import Keeper
 from endivesaddle.fleet.routes.remote_store import ForwardStore, answer_store
@@ -26,6 +27,8 @@
     Entry,
     Instance,
 )
+from endivesaddle.fleet.routes.shared_polls import SharedPolls
+from endivesaddle.fleet.routing.engine_desk import EngineDesk
 from endivesaddle.instances.server import serve as serve_calls
 from endivesaddle.instances.settings import InstancesSettings
 
@@ -57,6 +60,7 @@
         self._settings = settings
         self._store = store
         self._clock = SteadyClock()
+        self._polls = SharedPolls(store, self._clock)
         self._keeper = Keeper(KeeperLife(settings.lifetime, store, self._clock))
 
     async def run(self) -> None:
@@ -69,6 +73,7 @@
             events.STARTED.log(address=settings.listen, http_address='')
             group.start_soon(self._entry().run, SIDECAR_RENEW_S)
             group.start_soon(self._keeper.run)
+            group.start_soon(self._polls.run)
             await stop_signal()
             await self._stop()
             group.cancel_scope.cancel()
@@ -88,8 +93,9 @@
 
     def _handlers(self) -> Handlers:
         handlers = Handlers()
-        answer_store(handlers, self._store, self._clock)
+        answer_store(handlers, self._polls, self._clock)
         self._keeper.register(handlers)
+        answer_desk(handlers, EngineDesk(), self._clock)
         return handlers
 
     def _entry(self) -> Entry:
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routes/desks.py
@@ -0,0 +1,144 @@
+"""Ask the sidecars beside engines for places, and tell them what is under way there."""
+
+from collections.abc import Collection
+from itertools import count
+
+import anyio
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.errors import FleetError
+from endivesaddle.fleet.ports import Handlers, Peers
+from endivesaddle.fleet.routes import events
+from endivesaddle.fleet.routes.roster import Roster
+from endivesaddle.fleet.routing.engine_desk import EngineDesk, Load, Word
+from endivesaddle.fleet.routing.lanes import Lane, Lanes
+from endivesaddle.wire import rpcs
+from endivesaddle.wire.routers_pb2 import EnterReply, EnterRequest
+
+ASK_S = 0.06
+"""A sidecar answers in some 3 ms; without an answer a prompt goes where it seemed best."""
+AVOID_S = 2.0
+"""A sidecar that did not answer is not asked for so long."""
+GATHER_S = 0.01
+"""Changes within this are told in one word."""
+REFRESH_S = 1.0
+"""What goes on is told again so often, that a sidecar may forget routers that are gone."""
+
+
+class SidecarDesks:
+    """One router's words to the sidecars beside engines; one task tells what changed."""
+
+    def __init__(
+        self, lanes: Lanes, roster: Roster, peers: Peers, clock: Clock, lifetime: str
+    ) -> None:
+        """Speak as ``lifetime``; a sidecar stands beside the servers of its host."""
+        self._lanes = lanes
+        self._roster = roster
+        self._peers = peers
+        self._clock = clock
+        self._lifetime = lifetime
+        self._numbers = count(1)
+        self._avoid_until_unix_s: dict[str, float] = {}
+        self._by_host: dict[str, str] = {}
+        self._by_host_of: Collection[str] = ()
+        self._changed: dict[str, Lane] = {}
+        self._soon = anyio.Event()
+
+    async def ask(self, lane: Lane, tokens: int, most_tokens: int) -> bool:
+        """Ask for a place for a prompt; True where it may go there, or nobody could be asked."""
+        address = self._beside(lane)
+        if not address:
+            return True
+        word = self._word(lane)
+        word.asked_tokens = tokens
+        word.most_tokens = most_tokens
+        lane.asking += 1
+        lane.asking_tokens += tokens
+        try:
+            reply = await self._enter(address, lane, word)
+        finally:
+            lane.asking -= 1
+            lane.asking_tokens -= tokens
+        return reply is None or reply.taken_up
+
+    def changed(self, lane: Lane, soon: bool) -> None:
+        """Tell what is under way at an engine now, ``soon`` or with the next word."""
+        self._changed[lane.server.lifetime] = lane
+        if soon:
+            self._soon.set()
+
+    async def run(self) -> None:
+        """Tell what changed, and what goes on, until cancelled."""
+        refresh_unix_s = 0.0
+        async with anyio.create_task_group() as group:
+            while True:
+                with anyio.move_on_after(REFRESH_S):
+                    await self._soon.wait()
+                await anyio.sleep(GATHER_S)
+                self._soon = anyio.Event()
+                if self._clock.now_s() >= refresh_unix_s:
+                    refresh_unix_s = self._clock.now_s() + REFRESH_S
+                    self._refresh()
+                for lane in self._changed.values():
+                    group.start_soon(self._tell, lane)
+                self._changed = {}
+
+    def _refresh(self) -> None:
+        for lane in self._lanes.all():
+            if lane.own_in_flight:
+                self._changed[lane.server.lifetime] = lane
+
+    async def _tell(self, lane: Lane) -> None:
+        address = self._beside(lane)
+        if address:
+            await self._enter(address, lane, self._word(lane))
+
+    async def _enter(self, address: str, lane: Lane, word: EnterRequest) -> EnterReply | None:
+        try:
+            reply = await self._peers.call(address, rpcs.ENTER, word, self._clock.now_s() + ASK_S)
+        except (FleetError, TimeoutError) as error:
+            events.DESK_SILENT.log(sidecar=address, reason=str(error))
+            self._avoid_until_unix_s[address] = self._clock.now_s() + AVOID_S
+            return None
+        lane.heard(reply.in_flight, reply.reading_tokens, self._clock.now_s())
+        return reply
+
+    def _word(self, lane: Lane) -> EnterRequest:
+        return EnterRequest(
+            lifetime=self._lifetime,
+            number=next(self._numbers),
+            reading_tokens=lane.own_reading_tokens + lane.asking_tokens,
+            in_flight=lane.own_in_flight + lane.asking,
+        )
+
+    def _beside(self, lane: Lane) -> str:
+        """Return the address of the sidecar beside an engine, '' where none can be asked."""
+        if self._by_host_of is not self._roster.sidecars:
+            self._by_host_of = self._roster.sidecars
+            self._by_host = {_host(address): address for address in self._by_host_of}
+        address = self._by_host.get(_host(lane.server.address), '')
+        usable = self._avoid_until_unix_s.get(address, 0) <= self._clock.now_s()
+        return address if usable else ''
+
+
+def _host(address: str) -> str:
+    return address.rpartition(':')[0]
+
+
+def answer_desk(handlers: Handlers, desk: EngineDesk, clock: Clock) -> None:
+    """Answer routers for the engine beside this instance."""
+
+    async def enter(asked: EnterRequest) -> EnterReply:  # noqa: WPS430 (bound to the desk)
+        now_unix_s = clock.now_s()
+        word = Word(asked.lifetime, asked.number, Load(asked.reading_tokens, asked.in_flight))
+        taken_up = False
+        if asked.asked_tokens:
+            taken_up = desk.ask(word, asked.asked_tokens, asked.most_tokens, now_unix_s)
+        else:
+            desk.tell(word, now_unix_s)
+        others = desk.others(asked.lifetime, now_unix_s)
+        return EnterReply(
+            taken_up=taken_up, reading_tokens=others.reading_tokens, in_flight=others.in_flight
+        )
+
+    handlers.answer(rpcs.ENTER, enter)
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -197,7 +197,8 @@
                     sum(word.reading_tokens for word in words if word.server == server),
                 )
                 for server in {word.server for word in words}
-            }
+            },
+            self._clock.now_s(),
         )
 
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/roster.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/roster.py
@@ -26,6 +26,8 @@
 FIRST_LOOKS = 3
 FIRST_LOOK_S = 0.7
 """All routers start at once: soon after the start each looks again for the others."""
+FEW_ROUTERS = 8
+"""Up to so many routers follow the store each for itself."""
 CALL_S = 0.6
 AWAY_S = 0.5
 
@@ -84,6 +86,7 @@
         self.others: dict[str, str] = {}
         self.sidecars: tuple[str, ...] = ()
         self.looked = False
+        self._near: tuple[str, ...] = ()
         self._entry = Entry(store, clock, own)
         self._heard: dict[str, float] = {}
         self._store = store
@@ -95,6 +98,14 @@
         """Addresses of all that may reach the store for this router, sidecars first."""
         return (*self.sidecars, *sorted(self.others.values()))
 
+    @property
+    def hubs(self) -> tuple[str, ...]:
+        """Sidecars through which the routers of this data centre follow the store together.
+
+        With few routers there are none: a sidecar's polls cost as many calls as theirs.
+        """
+        return self._near if len(self.others) + 1 > FEW_ROUTERS else ()
+
     async def run(self) -> None:
         """Keep the entry and look for others until cancelled."""
         looks = 0
@@ -142,12 +153,18 @@
         """Order the sidecars: those of this data centre first, and not all routers alike."""
         addresses = [entry.address for entry in sorted(entries, key=self._distance)]
         self.sidecars = tuple(dict.fromkeys(addresses))
+        near = {one.address for one in entries if one.data_centre == self._own.data_centre}
+        self._near = tuple(sorted(near, key=_weight))
 
     def _distance(self, entry: Instance) -> tuple[bool, int]:
         far = entry.data_centre != self._own.data_centre
         return far, xxhash.xxh3_64_intdigest(f'{self._own.lifetime}/{entry.lifetime}'.encode())
 
 
+def _weight(address: str) -> int:
+    return xxhash.xxh3_64_intdigest(address.encode())
+
+
 def _enter(others: dict[str, str], lifetime: str, address: str) -> None:
     """Enter a life at its address; an address has one life at a time, the newest."""
     for name in [one for one, other in others.items() if other == address]:
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -152,6 +152,7 @@
             sending=len(self._tried),
             unread_tokens=place.unread_tokens,
             in_flight=place.lane.in_flight,
+            reading_tokens=place.lane.reading_tokens,
         )
         place.begin()
         self._progress.sent()
--- a/packages/fleet/src/endivesaddle/fleet/routes/store_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/store_events.py
@@ -16,6 +16,9 @@
 DIRECT_BACK = event(4611, 'INFO', 'store_regained_directly', 'the store answers here again')
 RELAY = event(4612, 'INFO', 'store_relayed', 'another instance makes the calls to the store')
 RELAY_LOST = event(4613, 'INFO', 'store_relay_lost', 'the instance that made them fails to')
+HUB_LOST = event(
+    4616, 'INFO', 'store_hub_lost', 'the sidecar that polls the store for this router fails to'
+)
 ENTRY_UNKEPT = event(
     4614, 'INFO', 'entry_unkept', "this instance's entry in the store could not be renewed"
 )
--- a/packages/fleet/src/endivesaddle/fleet/routes/ways.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/ways.py
@@ -29,7 +29,12 @@
 RELAYS_TRIED = 2
 """Relays that one call may try, the last that worked first."""
 
+HUB_POLL_S = 0.8
+HUB_ANSWER_S = 0.4
+"""A sidecar that polls for this router and fell silent is noticed within 1.2 s."""
+
 DIRECT = 'direct'
+SHARED = 'shared'
 RELAYED = 'relayed'
 
 Outcome = TypeVar('Outcome')
@@ -49,8 +54,13 @@
     """The store by the ways that this router has; it is used like the store itself."""
 
     def __init__(self, direct: ForwardStore, peers: Peers, clock: Clock) -> None:
-        """Prefer ``direct``; ``relays`` are addresses, the nearest first."""
+        """Prefer ``direct``; ``relays`` are addresses, the nearest first.
+
+        ``hubs`` are those through which this router follows the store with others, the first
+        that works.
+        """
         self.relays: Sequence[str] = ()
+        self.hubs: Sequence[str] = ()
         self.direct = direct
         self.away = False
         self.observer: Callable[[MadeCall], None] = _unobserved
@@ -94,6 +104,9 @@
         self, prefix: str, after_version: int, wait_s: float, deadline_unix_s: float
     ) -> Changes | Absent:
         """Return what changed, waiting for it; Absent where that history is dropped."""
+        shared = await self._shared_poll(prefix, after_version)
+        if shared is not None:
+            return shared
         return await self._reach(
             'poll',
             lambda way: way.poll(prefix, after_version, wait_s, deadline_unix_s),
@@ -127,6 +140,25 @@
             'keep_alive', lambda way: way.keep_alive(lease_id, deadline_unix_s), deadline_unix_s
         )
 
+    async def _shared_poll(self, prefix: str, after_version: int) -> Changes | Absent | None:
+        """Follow through a sidecar that polls for many routers; None where that fails."""
+        hub = next((one for one in self.hubs if self._usable(one)), '')
+        if not hub:
+            return None
+        store = RemoteStore(hub, self._peers, self._clock)
+        deadline_unix_s = self._clock.now_s() + HUB_POLL_S + HUB_ANSWER_S
+        try:
+            return await self._made(
+                'poll',
+                SHARED,
+                lambda way: way.poll(prefix, after_version, HUB_POLL_S, deadline_unix_s),
+                store,
+            )
+        except StoreUnreachable as error:
+            events.HUB_LOST.log(hub=hub, reason=str(error))
+            self._failed_until_unix_s[hub] = self._clock.now_s() + RELAY_AGAIN_S
+            return None
+
     async def _reach(self, name: str, call: Call[Outcome], deadline_unix_s: float) -> Outcome:
         """Make a call by the first way that answers; a write that may be done is not repeated."""
         if not self.away or not self.relays:
@@ -178,13 +210,11 @@
         self._relay_works(address)
         return outcome
 
+    def _usable(self, address: str) -> bool:
+        return self._failed_until_unix_s.get(address, 0) <= self._clock.now_s()
+
     def _relays_now(self) -> Sequence[str]:
-        now_unix_s = self._clock.now_s()
-        usable = [
-            address
-            for address in self.relays
-            if self._failed_until_unix_s.get(address, 0) <= now_unix_s
-        ]
+        usable = [address for address in self.relays if self._usable(address)]
         usable.sort(key=lambda address: address != self._relay)
         return usable[:RELAYS_TRIED]
 
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routing/choosing.py
@@ -0,0 +1,50 @@
+"""Choose an engine for a prompt, asking the sidecars beside the best ones what they know."""
+
+from typing import Protocol
+
+from endivesaddle.fleet.routing.lanes import Lane
+from endivesaddle.fleet.routing.placing import PlacingPolicy, Setting, tolerated_tokens
+
+ASKS = 3
+"""Sidecars asked for one prompt at most; each takes some 3 ms."""
+ANY_TOKENS = 1 << 40
+
+
+class Desks(Protocol):
+    """The sidecars beside engines, as a router reaches them."""
+
+    async def ask(self, lane: Lane, tokens: int, most_tokens: int) -> bool:
+        """Ask for a place for a prompt, and learn what the other routers have there.
+
+        True where the prompt may go there, also where nobody could be asked.
+        """
+
+    def changed(self, lane: Lane, soon: bool) -> None:
+        """Tell the sidecar beside an engine what is under way there now, ``soon`` or with the next
+        word."""
+
+
+class NoDesks:
+    """No sidecar stands beside any engine."""
+
+    async def ask(self, lane: Lane, tokens: int, most_tokens: int) -> bool:
+        """Take up any prompt."""
+        return True
+
+    def changed(self, lane: Lane, soon: bool) -> None:
+        """Tell nobody."""
+
+
+async def choose(setting: Setting, policy: PlacingPolicy, desks: Desks) -> Lane:
+    """Return the lane for a prompt.
+
+    What a sidecar says changes its lane, so that the policy decides anew with the truth about
+    the engines that it had preferred.
+    """
+    for asks_left in reversed(range(ASKS)):
+        lane = policy(setting)
+        most_tokens = tolerated_tokens(setting, lane) if asks_left else ANY_TOKENS
+        unread = lane.unread(setting.want, setting.now_unix_s)
+        if await desks.ask(lane, max(1, unread), most_tokens):
+            break
+    return lane
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -8,6 +8,7 @@
 from endivesaddle.fleet.routes.declared import Route, RouteServer
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routing.choosing import Desks, NoDesks, choose
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane, Lanes, is_engine
 from endivesaddle.fleet.routing.placing import Setting, placing_policies
@@ -49,10 +50,13 @@
     def began(self) -> None:
         """Note the first event of the answer."""
         self.lane.began(self._want)
+        self._dispatcher.desks.changed(self.lane, soon=True)
 
     def end(self, well: bool) -> None:
         """Note that nothing is under way there any more."""
+        read = self._want.key not in self.lane.reading
         self.lane.ended(self._want)
+        self._dispatcher.desks.changed(self.lane, soon=not read)
         self.lane.fared(well, self._dispatcher.now_s())
 
     def silent(self) -> None:
@@ -78,6 +82,7 @@
         self.sent_parts = SentParts()
         self.large_listeners: list[Callable[[], None]] = []
         self.counts: Counter[str] = Counter()
+        self.desks: Desks = NoDesks()
         self.routers = LEAST_ROUTERS
         self._settings = settings
         self._clock = clock
@@ -105,7 +110,10 @@
         setting = Setting(
             want, lanes, self._settings.forward_data_centre, engine, self.now_s(), self._turn
         )
-        return Place(self, placing_policies.find(name)(setting), want)
+        policy = placing_policies.find(name)
+        if engine and len(lanes) > 1:
+            return Place(self, await choose(setting, policy, self.desks), want)
+        return Place(self, policy(setting), want)
 
     def full(self, request: ForwardRequest, reason: str) -> Refusal:
         """Refuse what ran nowhere, with a time to come back that spreads the callers."""
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -23,6 +23,8 @@
 PARTS_S = 20.0
 """Prompt parts sent longer ago than this are taken as evicted: an engine with memory for
 700,000 tokens that takes in 38,000 a second keeps what nobody asks for 18 s."""
+HEARD_S = 0.3
+"""The word of the sidecar beside a server counts for so long: the other routers' are as old."""
 MOST_PARTS = 4000
 """Parts remembered for one server: 20 s at 100 requests a second of all routers."""
 
@@ -56,6 +58,9 @@
         self.running: dict[str, int] = {}
         self.elsewhere = 0
         self.elsewhere_reading = 0
+        self.asking_tokens = 0
+        self.asking = 0
+        self.heard_unix_s = 0.0
         self.silent_until_unix_s = 0.0
         self._silences = 0
         self._parts: OrderedDict[str, float] = OrderedDict()
@@ -82,6 +87,12 @@
         """Prompt tokens on the way to be read, of all routers as last told."""
         return self.own_reading_tokens + self.elsewhere_reading
 
+    def heard(self, requests: int, tokens: int, now_unix_s: float) -> None:
+        """Take in what the sidecar beside the server says that other routers have there."""
+        self.elsewhere = requests
+        self.elsewhere_reading = tokens
+        self.heard_unix_s = now_unix_s
+
     def unread(self, want: ForwardWant, now_unix_s: float) -> int:
         """Return the tokens of a prompt that the server has to read."""
         unread = want.prompt_tokens
@@ -170,9 +181,14 @@
             if not self._lanes[lifetime].own_in_flight:
                 del self._lanes[lifetime]
 
-    def told(self, loads: dict[str, tuple[int, int]]) -> None:
-        """Take in what other routers have at each server: requests, and tokens to read."""
+    def told(self, loads: dict[str, tuple[int, int]], now_unix_s: float) -> None:
+        """Take in what other routers have at each server: requests, and tokens to read.
+
+        What the sidecar beside a server said just now is better than their words.
+        """
         for lifetime, lane in self._lanes.items():
+            if now_unix_s - lane.heard_unix_s < HEARD_S:
+                continue
             requests, tokens = loads.get(lifetime, (0, 0))
             lane.elsewhere = requests
             lane.elsewhere_reading = tokens
--- a/packages/fleet/src/endivesaddle/fleet/routing/placing.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/placing.py
@@ -18,6 +18,8 @@
 
 Two days without load beside them: a fifth fewer bytes between data centres at the larger
 site (0.013, 0.010 GB) than with 2 ms, and no less worth (first events not compared)."""
+HOP_MS = 8.0
+"""Another lane has to be better by this: asking there takes some 3 ms, and parts are left."""
 HOME_TRUST = 0.3
 """How far a shared part is believed to lie at its home when no router told of it: mostly it
 was never read, and the home keeps two routers from reading it at two servers at once."""
@@ -93,6 +95,16 @@
     return wait_ms + far_ms + FAILURE_MS * lane.failed_share(setting.now_unix_s)
 
 
+def tolerated_tokens(setting: Setting, lane: Lane) -> int:
+    """Return how many tokens others may have to read at a lane before another one is better."""
+    others = [one for one in setting.lanes if one is not lane]
+    if not others:
+        return lane.elsewhere_reading
+    best_ms = min(_expected_ms(setting, one, at_home=False) for one in others)
+    more_ms = best_ms + HOP_MS - _expected_ms(setting, lane, at_home=False)
+    return max(0, lane.elsewhere_reading + int(more_ms * PREFILL_TOKENS_PER_MS))
+
+
 @placing_policies.add('least_busy')
 def least_busy(setting: Setting) -> Lane:
     """Take the plain server with the most free slots for its size, well ones before failing ones.
--- a/packages/wire/src/endivesaddle/wire/routers_grpc.py
+++ b/packages/wire/src/endivesaddle/wire/routers_grpc.py
@@ -22,6 +22,10 @@
     async def Draw(self, stream: 'grpclib.server.Stream[routers_pb2.DrawRequest, routers_pb2.DrawReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Enter(self, stream: 'grpclib.server.Stream[routers_pb2.EnterRequest, routers_pb2.EnterReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Store(self, stream: 'grpclib.server.Stream[routers_pb2.StoreAsk, routers_pb2.StoreReply]') -> None:
         pass
@@ -40,6 +44,12 @@
                 routers_pb2.DrawRequest,
                 routers_pb2.DrawReply,
             ),
+            '/endivesaddle.routers.Routers/Enter': grpclib.const.Handler(
+                self.Enter,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                routers_pb2.EnterRequest,
+                routers_pb2.EnterReply,
+            ),
             '/endivesaddle.routers.Routers/Store': grpclib.const.Handler(
                 self.Store,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -64,6 +74,12 @@
             routers_pb2.DrawRequest,
             routers_pb2.DrawReply,
         )
+        self.Enter = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/endivesaddle.routers.Routers/Enter',
+            routers_pb2.EnterRequest,
+            routers_pb2.EnterReply,
+        )
         self.Store = grpclib.client.UnaryUnaryMethod(
             channel,
             '/endivesaddle.routers.Routers/Store',
