Say that a total is used up only where the account's own keeper says so

Cause, from reading: a keeper that stands in for a silent one counts all that the other was granted as spent, and told 402 where tokens were only held; and a router went on to the next keeper when the first said that others hold the rest. The scenario 'a keeper that stands in' shows it.

--- a/features/custody.feature
+++ b/features/custody.feature
@@ -48,6 +48,15 @@
     And router 0 spends 2000 tokens 10 times a second for 8 seconds
     Then no request was refused
 
+  Scenario: A keeper that stands in does not take for spent what the first one holds ahead
+    The router can't reach the sidecar that keeps the account, and asks the other.  Nearly all of
+    the total is granted to the first; told that it is used up, the caller would not come back.
+    Given 1 routers and 2 sidecars that share a total of 30000 tokens
+    When router 0 spends 1000 tokens 4 times a second for 3 seconds
+    And the sidecar that keeps the account falls silent
+    Then a request for 18000 tokens is told to come back
+    And a request for 40000 tokens is refused as budget_exhausted
+
   Scenario: A sidecar that stops returns what lies there
     Given 4 routers and 2 sidecars that share a total of 300000 tokens
     When router 0 spends 1000 tokens 10 times a second for 5 seconds
--- a/features/steps/custody_steps.py
+++ b/features/steps/custody_steps.py
@@ -7,6 +7,7 @@
 
 from endivesaddle.fleet.routes.grant_group import GROUPS, PREFIX
 from endivesaddle.fleet.routes.grants import decode
+from endivesaddle.fleet.sentinels import Refusal
 from subjects.store_relay import ahead
 
 SEED = 5
@@ -48,6 +49,22 @@
     context.cut.kill(router)
 
 
+@when('the sidecar that keeps the account falls silent')
+def silence_keeper(context: Any) -> None:
+    """Lose the messages of the one that has most tokens."""
+    kept = [ahead(keeper) for keeper in context.cut.keepers]
+    assert max(kept) > 0, kept
+    context.cut.silence(kept.index(max(kept)))
+
+
+@then('a request for {tokens:d} tokens is told to come back')
+def come_back(context: Any, tokens: int) -> None:
+    """Ask for so many, and look at the answer."""
+    refusal = context.cut.hold(0, tokens)
+    assert isinstance(refusal, Refusal), refusal
+    assert refusal.code == 'budget_unreachable', refusal
+
+
 @when('each sidecar stops gracefully')
 def stop_sidecars(context: Any) -> None:
     """Stop one after the other."""
--- a/features/subjects/store_relay.py
+++ b/features/subjects/store_relay.py
@@ -14,6 +14,7 @@
 from endivesaddle.fleet.routes.grant_group import KeeperLife
 from endivesaddle.fleet.routes.keeper import Keeper
 from endivesaddle.fleet.routes.remote_store import RemoteStore, answer_store
+from endivesaddle.fleet.routes.reservation import Reservation
 from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance, Roster
 from endivesaddle.fleet.routing.dispatcher import Place
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
@@ -80,6 +81,10 @@
         """Carry one request; True when it was admitted."""
         return self._loop.run(self._spend, router, tokens)
 
+    def hold(self, router: int, tokens: int) -> Reservation | Refusal:
+        """Reserve for a request and leave it open."""
+        return self._loop.run(self.routers[router].wallet.reserve, self._account(), tokens)
+
     def kill(self, router: int) -> None:
         """Lose one router, and start another life of it in its place."""
         self._loop.run(self._kill, router)
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeper.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeper.py
@@ -188,7 +188,7 @@
             state = DrawAnswer.GROWING
         elif group.away or group.failed:
             state = DrawAnswer.AWAY
-        elif grant.exhausted(tokens, self._orphaned(account)):
+        elif self._exhausted(group, account, tokens):
             state = DrawAnswer.EXHAUSTED
         events.GRANT_LACKING.log(
             account=account,
@@ -202,6 +202,17 @@
         )
         return state
 
+    def _exhausted(self, group: GrantGroup, account: str, tokens: int) -> bool:
+        """Tell whether it is certain that an account's total does not cover a request.
+
+        Only the group's own keeper knows what is left: asked in its place, another one takes for
+        spent what that one has not given to anybody, and would send callers away for good.
+        """
+        grant = group.grants[account]
+        if tokens > grant.total:
+            return True
+        return group.wanted_here and grant.exhausted(tokens, self._orphaned(account))
+
     def _orphaned(self, account: str) -> int:
         latest_unix_s = self._life.clock.now_s() - ORPHAN_S
         return sum(
--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -41,6 +41,8 @@
 """A caller whose request found no tokens is told to come back after this."""
 
 PROMISING = frozenset((DrawAnswer.READY, DrawAnswer.GROWING))
+KNOWING = frozenset((DrawAnswer.EXHAUSTED, DrawAnswer.HELD))
+"""Words of a keeper that reaches the store: the next one could not know better."""
 
 PAYMENT_REQUIRED = 402
 UNAVAILABLE = 503
@@ -217,7 +219,7 @@
         async with held.lock:
             for address in self._parts.keepers.ranked(group_of(account.name)):
                 state = await self._draw_all(address, held, account.name, tokens)
-                if held.holding.fits(tokens) or state == DrawAnswer.EXHAUSTED:
+                if held.holding.fits(tokens) or state in KNOWING:
                     break
         return state
 
