--- a/features/explain.feature
+++ b/features/explain.feature
@@ -23,7 +23,7 @@
     And the request is explained
     Then the story says the caller got a refusal: budget_unreachable
     And it names forward_refused after grant_short
-    And the line of grant_short says store_away=True
+    And the line of grant_short says keeper_said=AWAY
 
   Scenario: Files that tell nothing
     Given a log file with a line that is no line
