Read the store's answers for as long as they arrive

Cause: a configuration of 2,000 routes takes 0.65 s on a link of 5 Mbit/s; a list of the store had 0.5 s for its whole answer. Now an answer has to begin in time, and counts as lost when nothing of it arrives for 0.5 s. A sidecar that polls for many routers leaves large changes to the store: a call between instances has one limit over all. Ruled out: longer limits over all, by which a silent store would be noticed too late.

--- a/features/shared_polls.feature
+++ b/features/shared_polls.feature
@@ -42,3 +42,10 @@
     When 3 seconds go by without changes
     And the store drops its history while a key below the prefix is written
     Then all routers are told that the sidecar does not know, or know the key
+
+  Scenario: A change that is too large to pass on is asked for at the store
+    Passed on over a router's slow link, it would not arrive within the call's time.
+    Given 2 routers that follow a prefix through one sidecar
+    When 3 seconds go by without changes
+    And 200000 bytes are written below the prefix
+    Then all routers are told within 100 ms that the sidecar does not know
--- a/features/steps/shared_polls_steps.py
+++ b/features/steps/shared_polls_steps.py
@@ -28,6 +28,13 @@
     context.key = context.fleet.write()
 
 
+@when('{size:d} bytes are written below the prefix')
+def written_large(context: Any, size: int) -> None:
+    """Write them; the routers' answers are looked at from here on."""
+    context.before = [router.failures for router in context.fleet.routers]
+    context.fleet.write(b'x' * size)
+
+
 @when("the sidecar's store falls silent")
 def silent(context: Any) -> None:
     """Swallow what the sidecar asks."""
@@ -69,7 +76,7 @@
 @then('all routers are told within {ms:d} ms that the sidecar does not know')
 def told(context: Any, ms: int) -> None:
     """Wait so long and look."""
-    before = [router.failures for router in context.fleet.routers]
+    before = getattr(context, 'before', [router.failures for router in context.fleet.routers])
     context.fleet.sleep(ms / MS_IN_S)
     after = [router.failures for router in context.fleet.routers]
     assert all(now > then for now, then in zip(after, before, strict=True)), (before, after)
--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -9,6 +9,7 @@
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
 from subjects import users_platform
+from subjects.slow_link import SlowScan
 
 MANY = 5
 
@@ -188,3 +189,28 @@
     assert isinstance(outcome, StoreUnreachable), outcome
     context.users.gateway.status = 0
     assert isinstance(context.users.call('read', 'my/refused'), Absent)
+
+
+@when('a list takes 2 seconds to arrive, and answers have to begin within half a second')
+def slow_list(context: Any) -> None:
+    """Scan over such a link."""
+    context.scan = SlowScan(stalls=False)
+
+
+@when('a list stops coming after 1 second, and answers have to begin within half a second')
+def stalled_list(context: Any) -> None:
+    """Scan over such a link."""
+    context.scan = SlowScan(stalls=True)
+
+
+@then('it is read whole')
+def read_whole(context: Any) -> None:
+    """Look at the version that it told."""
+    assert context.scan.version == 7, context.scan.failure
+
+
+@then('it counts as lost after {seconds:g} seconds at most')
+def counts_as_lost(context: Any, seconds: float) -> None:
+    """Look at the time that it took."""
+    assert context.scan.failure
+    assert context.scan.took_s <= seconds, context.scan.took_s
--- a/features/subjects/shared_polls.py
+++ b/features/subjects/shared_polls.py
@@ -92,10 +92,10 @@
         """Let time pass."""
         self._loop.run(anyio.sleep, seconds)
 
-    def write(self) -> str:
+    def write(self, value: bytes = b'x') -> str:
         """Write a key below the prefix; return it."""
         key = f'{PREFIX}{len(self.routers)}'
-        self._loop.run(self._write, key)
+        self._loop.run(self._write, key, value)
         return key
 
     def forget_while_writing(self) -> str:
@@ -118,8 +118,8 @@
         self._tasks.extend(asyncio.ensure_future(router.run()) for router in self.routers)
         await anyio.sleep(0.01)
 
-    async def _write(self, key: str) -> None:
-        self.store.put(key, b'x')
+    async def _write(self, key: str, value: bytes) -> None:
+        self.store.put(key, value)
 
     async def _forget(self, key: str) -> None:
         self.store.put(key, b'x')
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -95,3 +95,13 @@
     When server one enters
     And 3 seconds pass
     Then 1 servers take requests
+
+  Scenario: A large answer is read for as long as it arrives
+    A router has a link of 5 Mbit/s, and the configuration has 2,000 routes.  With one time limit
+    over the whole answer it never got it, and refused every request from its start on.
+    When a list takes 2 seconds to arrive, and answers have to begin within half a second
+    Then it is read whole
+
+  Scenario: An answer that stops coming is none
+    When a list stops coming after 1 second, and answers have to begin within half a second
+    Then it counts as lost after 1.6 seconds at most
