--- a/packages/fleet/src/endivesaddle/fleet/routes/board.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/board.py
@@ -1,7 +1,7 @@
 """A board at a sidecar, on which routers leave words for all others.
 
-Load pattern: many routers.  Each talking with each other, 22 of them made 440 calls a second and
-heard of each other once in a second; by the board they make 40 and hear twice a second.
+Load pattern: many routers.  Each talking with each other, 22 of them make up to 440 calls a
+second and hear of each other once in a second; by the board it is 40, and twice a second.
 """
 
 from collections import deque
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -35,7 +35,7 @@
 BOARD_S = 0.5
 """Between two looks at the board."""
 BOARDS_PER_S = 40.0
-"""Looks of all routers in a second that one sidecar answers: a tenth of a core."""
+"""Looks of all routers in a second that one sidecar is asked for."""
 NO_BOARD_S = 2.0
 """A sidecar whose board did not answer is passed over for so long."""
 REPLY_S = 0.4
--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -32,7 +32,7 @@
 LOOKS_PER_S = 5.0
 """Looks of all routers in a second: with many routers each looks less often."""
 NEAR_S = 0.5
-"""So many seconds of its use a router holds; asking for more takes it some 3 ms."""
+"""So many seconds of its use a router holds; asking for more takes a call to the keeper."""
 WAIT_S = 0.45
 """A request waits so long for tokens: a slow store takes 0.35 s for a write."""
 CALL_S = 0.25
