--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -22,6 +22,7 @@
 from endivesaddle.fleet.ports import Handlers
 from endivesaddle.fleet.routes.desks import SidecarDesks
 from endivesaddle.fleet.routes.following import Follower
+from endivesaddle.fleet.routes.lateness import Lateness
 from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
 from endivesaddle.fleet.routes.remote_store import answer_store
 from endivesaddle.fleet.routes.running import Runner
@@ -64,6 +65,7 @@
         self.parts.dispatcher.desks = self._desks
         self._settings = settings
         self._clock = clock
+        self._lateness = Lateness(clock)
         self._stopping = Stopping(self.neighbours.others_stay)
         parts = self.parts
         self._follower = Follower(parts.store, ports.decoder, parts.known, clock, parts.contact)
@@ -116,6 +118,8 @@
                 'servers_known': len(known.servers),
                 'store_age_seconds': parts.contact.age_s,
                 'store_away_here': int(parts.store.away),
+                'servers_heard_age_seconds': parts.dispatcher.servers_heard_s(),
+                'late_seconds': self._lateness.worst_s(),
                 'sidecars_known': len(parts.roster.sidecars),
                 'routers_known': len(parts.roster.others) + 1,
                 **parts.dispatcher.counts,
@@ -131,6 +135,7 @@
             self.parts.keeper.run,
             self.parts.wallet.run,
             self._desks.run,
+            self._lateness.run,
             self._tend,
         ]
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -5,7 +5,7 @@
 the next poll.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -116,14 +116,14 @@
         self,
         prefix: str,
         wait_s: float,
-        listed: Callable[[Iterable[Stored]], None],
-        changed: Callable[[Iterable[Stored]], None],
+        listed: Callable[[Changes], None],
+        changed: Callable[[Changes], None],
     ) -> None:
         while True:
             try:
                 changes = await self._store.scan(prefix, self._clock.now_s() + ANSWER_S)
                 self.contact.heard()
-                listed(changes.entries)
+                listed(changes)
                 await self._poll(prefix, wait_s, changes.version, changed)
             except StoreUnreachable as error:
                 self.contact.lost(str(error))
@@ -134,7 +134,7 @@
         prefix: str,
         wait_s: float,
         version: int,
-        changed: Callable[[Iterable[Stored]], None],
+        changed: Callable[[Changes], None],
     ) -> None:
         """Take changes until the store says that it dropped some."""
         while True:
@@ -144,10 +144,10 @@
             if isinstance(changes, Absent):
                 return
             version = changes.version
-            changed(changes.entries)
+            changed(changes)
 
-    def _declare_all(self, entries: Iterable[Stored]) -> None:
-        for stored in entries:
+    def _declare_all(self, changes: Changes) -> None:
+        for stored in changes.entries:
             if stored.value is not None:
                 self._declare(stored, stored.value)
 
@@ -160,16 +160,18 @@
         if declared is not None:
             self._known.declare(declared, document, 'store')
 
-    def _list_servers(self, entries: Iterable[Stored]) -> None:
+    def _list_servers(self, changes: Changes) -> None:
+        self._known.heard_servers(changes.version, self._clock.now_s())
         present = set()
-        for stored in entries:
+        for stored in changes.entries:
             present.add(self._decoder.lifetime(stored.key))
             self._server(stored)
         for lifetime in set(self._known.servers) - present:
             self._missing(lifetime)
 
-    def _change_servers(self, entries: Iterable[Stored]) -> None:
-        for stored in entries:
+    def _change_servers(self, changes: Changes) -> None:
+        self._known.heard_servers(changes.version, self._clock.now_s())
+        for stored in changes.entries:
             if stored.value is None:
                 self._missing(self._decoder.lifetime(stored.key))
             else:
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -23,6 +23,8 @@
         self.document = b''
         self.servers: dict[str, RouteServer] = {}
         self.missing: dict[str, float] = {}
+        self.servers_version = 0
+        self.servers_heard_unix_s = 0.0
         self.listeners: list[Listener] = []
         self._by_service: dict[str, tuple[RouteServer, ...]] = {}
 
@@ -37,6 +39,11 @@
         self._tell()
         return True
 
+    def heard_servers(self, version: int, now_unix_s: float) -> None:
+        """Note that the store told now of all entries of servers up to a version of it."""
+        self.servers_version = version
+        self.servers_heard_unix_s = now_unix_s
+
     def server(self, server: RouteServer, source: str) -> None:
         """Take in what a server said of itself; one that left never comes back as ready."""
         known = self.servers.get(server.lifetime)
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -154,6 +154,7 @@
             unread_tokens=place.unread_tokens,
             in_flight=place.lane.in_flight,
             reading_tokens=place.lane.reading_tokens,
+            servers_heard_s=self._runner.dispatcher.servers_heard_s(),
         )
         place.begin()
         self._progress.sent()
--- a/packages/fleet/src/endivesaddle/fleet/routes/store_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/store_events.py
@@ -19,6 +19,9 @@
 HUB_LOST = event(
     4616, 'INFO', 'store_hub_lost', 'the sidecar that polls the store for this router fails to'
 )
+LATE = event(
+    4618, 'INFO', 'process_late', 'this process gets to its work late: its processor is taken'
+)
 ENTRY_UNKEPT = event(
     4614, 'INFO', 'entry_unkept', "this instance's entry in the store could not be renewed"
 )
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -95,6 +95,10 @@
         """Return the time now, in Unix seconds."""
         return self._clock.now_s()
 
+    def servers_heard_s(self) -> float:
+        """Return how long ago, in seconds, the store told of the servers last."""
+        return round(self.now_s() - self.known.servers_heard_unix_s, 2)
+
     async def place(self, request: ForwardRequest, exclude: frozenset[str]) -> Place | Refusal:
         """Choose a server for a request, not one that it was sent to already."""
         service = self._service(request)
