Reproduce how a server that left is chosen again, failing

Three scenarios, all red on the code as it is: an older list of another router is put in place of a newer belief (server_known leaving=False source=<router> after leaving=True); a request goes out on a connection that was begun before the server left; sidecars that are gone make a store that answers look lost, which is what makes routers ask each other. The stand-in's links now keep time limits, as real ones do.

--- /dev/null
+++ b/features/steps/leaving_servers_steps.py
@@ -0,0 +1,95 @@
+"""Steps of leaving_servers.feature."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from subjects.leaving_servers import LeavingServers
+from subjects.slow_connections import SlowConnections
+
+
+@given('{routers:d} routers that follow the entries of {servers:d} servers')
+def start(context: Any, routers: int, servers: int) -> None:
+    """Start them without sidecars."""
+    start_with_sidecars(context, routers, servers, 0)
+
+
+@given(
+    '{routers:d} routers that follow the entries of {servers:d} servers '
+    'through {sidecars:d} sidecars'
+)
+def start_with_sidecars(context: Any, routers: int, servers: int, sidecars: int) -> None:
+    """Start them."""
+    context.play = LeavingServers(routers, servers, sidecars)
+    context.add_cleanup(context.play.close)
+
+
+@given('a router whose connections take {seconds:g} seconds')
+def slow(context: Any, seconds: float) -> None:
+    """Make its connections slow."""
+    context.play = SlowConnections(seconds)
+    context.add_cleanup(context.play.close)
+
+
+@when('router {router:d} hears no more of the store')
+def silence(context: Any, router: int) -> None:
+    """Let the answers to it vanish."""
+    context.play.silence(router)
+
+
+@when('{seconds:g} seconds later server {server:d} says that it leaves')
+def leave(context: Any, seconds: float, server: int) -> None:
+    """Write its word."""
+    context.play.sleep(seconds)
+    context.play.leave(server)
+
+
+@when('{seconds:g} seconds later router {router:d} knows of it, and hears no more of the store')
+def silence_later(context: Any, seconds: float, router: int) -> None:
+    """Look what it knows after a while, and let the answers to it vanish."""
+    context.play.sleep(seconds)
+    assert not context.play.chosen(router, 0, seconds)
+    context.play.silence(router)
+
+
+@then('router {router:d} does not choose server {server:d} in the next {seconds:d} seconds')
+def not_chosen(context: Any, router: int, server: int, seconds: int) -> None:
+    """Look all the while."""
+    assert not context.play.chosen(router, server, seconds)
+
+
+@when('a request is sent, and {seconds:g} seconds later the chosen server says that it leaves')
+def request(context: Any, seconds: float) -> None:
+    """Carry it to its end."""
+    context.play.request(seconds)
+
+
+@then('the caller gets the answer of another server')
+def answered(context: Any) -> None:
+    """Look at what the caller has."""
+    assert context.play.runs.sink.status == 200, context.play.runs.sink.refusal
+    assert context.play.runs.sink.body == b'body'
+
+
+@then('the server that left was sent nothing')
+def untouched(context: Any) -> None:
+    """Look at what arrived there."""
+    assert not context.play.network.sent[context.play.left]
+
+
+@when('the sidecars are gone, and stay on record')
+def lose(context: Any) -> None:
+    """Lose their machines."""
+    context.play.lose_sidecars()
+
+
+@when('all routers are watched for {seconds:d} seconds')
+def observe(context: Any, seconds: int) -> None:
+    """Look all the while who takes the store for lost."""
+    context.lost = context.play.lost(seconds)
+
+
+@then('no router took the store for lost')
+def none_lost(context: Any) -> None:
+    """Compare with what was seen."""
+    assert not context.lost, context.lost
--- a/features/subjects/cut_router.py
+++ b/features/subjects/cut_router.py
@@ -9,7 +9,7 @@
 from endivesaddle.fleet.errors import StoreUnreachable
 from endivesaddle.fleet.ports import Handlers, Stored
 from endivesaddle.fleet.routes.declared import Declared, RouteAccount, RouteServer
-from endivesaddle.fleet.routes.following import Follower
+from endivesaddle.fleet.routes.following import Decoder, Follower
 from endivesaddle.fleet.routes.grant_group import KeeperLife
 from endivesaddle.fleet.routes.keeper import Keeper
 from endivesaddle.fleet.routes.keepers import Keepers
@@ -71,30 +71,38 @@
 class CutRouter:
     """One life of a router, reached at ``address``."""
 
-    def __init__(self, name: str, address: str, net: MemoryNet, store: MemoryStore) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        net: MemoryNet,
+        store: Any,
+        decoder: Decoder | None = None,
+    ) -> None:
         """Build its parts; ``start`` runs them."""
+        decoder = decoder or NoDocuments()
         clock = LoopClock()
         self.address = address
         self.cut = CutStore(store, clock)
         self.way = ReachedStore(self.cut, net.peers(address), clock)
         self.contact = Contact(clock)
-        self._known = Known()
+        self.known = Known()
         own = Instance(ROUTER, name, address, 'porto-a')
         self.roster = Roster(self.way, clock, own)
         self.keeper = Keeper(KeeperLife(name, address, self.way, clock))
         keepers = Keepers(self.roster, address, clock)
         peers = net.peers(address)
         self.wallet = Wallet(
-            WalletParts(name, address, self._known, keepers, self.keeper, peers, clock)
+            WalletParts(name, address, self.known, keepers, self.keeper, peers, clock)
         )
-        self.dispatcher = Dispatcher(ForwardSettings(), self._known, clock, name)
+        self.dispatcher = Dispatcher(ForwardSettings(), self.known, clock, name)
         self._neighbours = Neighbours(
             NeighbourParts(
-                self._known,
+                self.known,
                 self.contact,
                 self.dispatcher,
                 self.roster,
-                NoDocuments(),
+                decoder,
                 (),
             ),
             peers,
@@ -102,14 +110,14 @@
             name,
             address,
         )
-        self._follower = Follower(self.way, NoDocuments(), self._known, clock, self.contact)
+        self._follower = Follower(self.way, decoder, self.known, clock, self.contact)
         self._net = net
         self._clock = clock
         self._tasks: list[asyncio.Future[None]] = []
 
     def start(self, account: RouteAccount) -> None:
         """Serve, and run all parts; they use what the roster knows within a second."""
-        self._known.declare(Declared(1, (), (), (account,)), b'', 'test')
+        self.known.declare(Declared(1, (), (), (account,)), b'', 'test')
         self.contact.heard()
         handlers = Handlers()
         self._neighbours.register(handlers)
@@ -135,3 +143,4 @@
         while True:
             await anyio.sleep(0.5)
             self.way.relays = self.roster.relays
+            self.way.hubs = self.roster.hubs
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from types import MappingProxyType
+from typing import Any
 
 import anyio
 
@@ -265,6 +266,23 @@
         """Carry one request to its end."""
         self._loop.run(self._request)
 
+    def play(self, moves: Coroutine[Any, Any, None]) -> None:
+        """Make moves of a scenario's own on the loop."""
+
+        async def played() -> None:
+            await moves
+
+        self._loop.run(played)
+
+    async def carry(self) -> None:
+        """Carry one request to its end, within moves of a scenario's own."""
+        await self._request()
+
+    def leave_server(self, lifetime: str) -> None:
+        """Have a server say that it leaves."""
+        server = self._known.servers[lifetime]
+        self._known.server(server._replace(leaving=True), 'test')
+
     def use_up(self) -> None:
         """Leave nothing to reserve from: the store is away before anything was granted."""
         self._store.fail(True)
@@ -326,7 +344,7 @@
             account=self.account,
             method='POST',
             target='/b/x',
-            headers=(),
+            headers=(('host', 'boards'),),
             body=b'',
             deadline_unix_s=began_unix_s + 10,
             end_unix_s=began_unix_s + self.route.timeout_ms / 1000,
--- /dev/null
+++ b/features/subjects/leaving_servers.py
@@ -0,0 +1,167 @@
+"""Subject: routers of one data centre, servers that leave, and news of it that comes late."""
+
+import asyncio
+from typing import Any
+
+import anyio
+import msgspec
+
+from endivesaddle.fleet.clock import LoopClock, left_s
+from endivesaddle.fleet.errors import StoreUnreachable
+from endivesaddle.fleet.ports import Handlers, Stored
+from endivesaddle.fleet.routes.declared import Declared, RouteAccount, RouteServer
+from endivesaddle.fleet.routes.remote_store import answer_store
+from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
+from endivesaddle.fleet.routes.shared_polls import SharedPolls
+from endivesaddle.stand_ins.memory_peers import MemoryNet
+from endivesaddle.stand_ins.memory_store import MemoryStore
+from subjects.cut_router import CutRouter
+from subjects.links_loop import ScenarioLoop
+
+SERVERS = 'servers/'
+SERVICE = 'engines'
+START_S = 3.0
+LOOK_S = 0.02
+ACCOUNT = RouteAccount('ateliers', (), None, None)
+
+
+class Entries:
+    """Servers' entries as the product's own type in JSON; nothing is declared."""
+
+    declared_prefix = 'none/declared'
+    servers_prefix = SERVERS
+
+    def declared(self, stored: Stored) -> Declared | None:
+        """Refuse."""
+        raise ValueError(stored.key)
+
+    def server(self, stored: Stored) -> RouteServer:
+        """Return a server's entry."""
+        return msgspec.json.decode(stored.value or b'', type=RouteServer)
+
+    def lifetime(self, key: str) -> str:
+        """Return the lifetime that a key names."""
+        return key.removeprefix(SERVERS)
+
+
+class TimedStore:
+    """The store with the time limits of a real link, whose answers may vanish."""
+
+    def __init__(self, store: MemoryStore, clock: LoopClock) -> None:
+        """Start with a sound link."""
+        self.silent = False
+        self._store = store
+        self._clock = clock
+
+    def __getattr__(self, name: str) -> Any:
+        """Make any call of the store; an answer that comes too late is none."""
+        call = getattr(self._store, name)
+
+        async def made(*arguments: Any) -> Any:
+            deadline_unix_s = arguments[3] if name in {'swap', 'poll'} else arguments[1]
+            with anyio.move_on_after(left_s(self._clock, deadline_unix_s)):
+                answer = await call(*arguments)
+                while self.silent:
+                    await anyio.sleep(LOOK_S)
+                return answer
+            raise StoreUnreachable('TimeoutError')
+
+        return made
+
+
+class LeavingServers:
+    """Routers that follow a store; each call runs on one loop in virtual time."""
+
+    def __init__(self, routers: int, servers: int, sidecars: int) -> None:
+        """Start them, and let them find each other."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._store = MemoryStore(self._clock)
+        self._net = MemoryNet(self._clock)
+        self._links: list[TimedStore] = []
+        self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
+        self._tasks: list[asyncio.Future[None]] = []
+        self.routers: list[CutRouter] = []
+        self._loop.run(self._start, routers, servers)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self._loop.run(anyio.sleep, seconds)
+
+    def silence(self, router: int) -> None:
+        """Have the store's answers to a router vanish, right after it heard the last one."""
+        self._loop.run(self._silence, router)
+
+    def leave(self, server: int) -> None:
+        """Have a server say that it leaves."""
+        self._loop.run(self._enter, server, True)
+
+    def lose_sidecars(self) -> None:
+        """Have the sidecars' machines vanish: connections to them hang."""
+        routers = {router.address for router in self.routers}
+        self._net.part(routers, set(self._sidecars))
+
+    def chosen(self, router: int, server: int, seconds: float) -> bool:
+        """Tell whether a router would choose a server at any moment of the next seconds."""
+        return self._loop.run(self._chosen, router, server, seconds)
+
+    def lost(self, seconds: float) -> set[str]:
+        """Return the routers that take the store for lost at any moment of the next seconds."""
+        return self._loop.run(self._lost, seconds)
+
+    async def _start(self, routers: int, servers: int) -> None:
+        for number in range(servers):
+            await self._enter(number, False)
+        for number, address in enumerate(self._sidecars):
+            await self._start_sidecar(f's{number}', address)
+        for number in range(routers):
+            link = TimedStore(self._store, self._clock)
+            router = CutRouter(f'router-{number}', f'10.0.0.{number}:1', self._net, link, Entries())
+            self._links.append(link)
+            self.routers.append(router)
+            router.start(ACCOUNT)
+        await anyio.sleep(START_S)
+
+    async def _start_sidecar(self, name: str, address: str) -> None:
+        polls = SharedPolls(self._store, self._clock)
+        handlers = Handlers()
+        answer_store(handlers, polls, self._clock)
+        self._net.serve(address, handlers)
+        self._tasks.append(asyncio.ensure_future(polls.run()))
+        own = Instance(SIDECAR, name, address, 'porto-a')
+        await Entry(self._store, self._clock, own, lease_s=90).keep()
+
+    async def _silence(self, router: int) -> None:
+        # Any change of an entry is told to all at once.
+        self._store.put(f'{SERVERS}other', b'{}')
+        await anyio.sleep(LOOK_S)
+        self._links[router].silent = True
+
+    async def _enter(self, number: int, leaving: bool) -> None:
+        server = RouteServer(_server(number), SERVICE, f'10.0.2.{number}:1', 'porto-a', 64, leaving)
+        self._store.put(f'{SERVERS}{server.lifetime}', msgspec.json.encode(server))
+
+    async def _chosen(self, router: int, server: int, seconds: float) -> bool:
+        until_unix_s = self._clock.now_s() + seconds
+        while self._clock.now_s() < until_unix_s:
+            taking = self.routers[router].known.of_service(SERVICE)
+            if _server(server) in {one.lifetime for one in taking}:
+                return True
+            await anyio.sleep(LOOK_S)
+        return False
+
+    async def _lost(self, seconds: float) -> set[str]:
+        found: set[str] = set()
+        until_unix_s = self._clock.now_s() + seconds
+        while self._clock.now_s() < until_unix_s:
+            found |= {one.address for one in self.routers if one.contact.away or one.way.away}
+            await anyio.sleep(LOOK_S)
+        return found
+
+
+def _server(number: int) -> str:
+    return f'life-{number}'
--- a/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
@@ -56,8 +56,9 @@
 class KeptLinks:
     """Idle connections by server; one life of a server shares nothing with the next."""
 
-    def __init__(self) -> None:
-        """Start without any."""
+    def __init__(self, network: httpcore.AsyncNetworkBackend | None = None) -> None:
+        """Start without any; ``network`` replaces the sockets in tests."""
+        self._network = network
         self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
         self.opened_count = 0
 
@@ -99,6 +100,7 @@
             httpcore.Origin(b'http', host.encode(), int(port)),
             keepalive_expiry=IDLE_S,
             socket_options=_SOCKET_OPTIONS,
+            network_backend=self._network,
         )
 
     @asynccontextmanager
