Take another router's list of servers only where it is newer by the store's version

Cause: while the store did not answer here, the list of any router that had heard it within 2.5 s replaced what was known, so that a server that had left was chosen again for up to 2.5 s plus the time until the store answered. Ruled out for the scenario: a poll of this router's own brought the old word (the source of server_known is the other router). A list has the version of the store up to which it is known, changes older than it are passed over, and a router tells its list by when it heard of servers, no longer by when it heard of anything.

--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -170,8 +170,12 @@
             self._missing(lifetime)
 
     def _change_servers(self, changes: Changes) -> None:
+        # Another router may have told newer ones, while the store did not answer here.
+        newer_than = self._known.servers_version
         self._known.heard_servers(changes.version, self._clock.now_s())
         for stored in changes.entries:
+            if stored.version <= newer_than:
+                continue
             if stored.value is None:
                 self._missing(self._decoder.lifetime(stored.key))
             else:
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -41,11 +41,11 @@
 
     def heard_servers(self, version: int, now_unix_s: float) -> None:
         """Note that the store told now of all entries of servers up to a version of it."""
-        self.servers_version = version
+        self.servers_version = max(self.servers_version, version)
         self.servers_heard_unix_s = now_unix_s
 
     def server(self, server: RouteServer, source: str) -> None:
-        """Take in what a server said of itself; one that left never comes back as ready."""
+        """Take in what a server said of itself."""
         known = self.servers.get(server.lifetime)
         if known is not None and known.born_unix_ms > server.born_unix_ms:
             # News of a life that ended, under the name of the one that is there now.
@@ -72,8 +72,15 @@
         events.SERVER_GONE.log(server=lifetime, address=server.address, source=source)
         self._tell()
 
-    def replace(self, servers: Mapping[str, RouteServer], source: str) -> None:
-        """Take a whole list: what it lacks is withdrawn."""
+    def replace(self, servers: Mapping[str, RouteServer], version: int, source: str) -> None:
+        """Take a whole list as of a version of the store: what it lacks is withdrawn.
+
+        An older list than what is known here is passed over: it would bring back servers that
+        said meanwhile that they leave, and requests went to them until the store answered here.
+        """
+        if version < self.servers_version:
+            return
+        self.servers_version = version
         for lifetime in set(self.servers) - set(servers):
             self.withdrawn(lifetime, source)
         for server in servers.values():
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -1,8 +1,8 @@
 """Talk with the other routers: loads, and facts while the store is away.
 
 One task for each neighbour.  What a neighbour says of the store's contents is
-taken only while the store does not answer here, and only from one that heard
-the store just now, so that nothing old comes in by this way.
+taken only while the store does not answer here, and only where it is newer, by
+the store's own version, than what is known here.
 """
 
 from collections import Counter
@@ -42,7 +42,7 @@
 QUIET_S = 1.0
 """After a talk that failed; a neighbour that is gone costs one try a second."""
 FRESH_S = 2.5
-"""A neighbour's word on the store's contents is taken if it heard the store this lately."""
+"""A router tells others of the servers if it heard of them from the store this lately."""
 STALE_S = 1.2
 """A neighbour's loads are forgotten after this."""
 
@@ -207,8 +207,10 @@
             reply.document = known.document
         if asked.wants_facts:
             reply.sidecars.extend(self._parts.roster.sidecars)
-        if asked.wants_facts and self._parts.contact.age_s < FRESH_S:
+        heard_s = self._clock.now_s() - known.servers_heard_unix_s
+        if asked.wants_facts and heard_s < FRESH_S:
             reply.servers_told = True
+            reply.servers_version = known.servers_version
             reply.servers.extend(_server_word(server) for server in known.servers.values())
         return reply
 
@@ -232,7 +234,8 @@
         if not reply.servers_told or not parts.contact.away:
             return
         before = set(parts.known.servers)
-        parts.known.replace({server.lifetime: _server(server) for server in reply.servers}, address)
+        servers = {server.lifetime: _server(server) for server in reply.servers}
+        parts.known.replace(servers, reply.servers_version, address)
         if before != set(parts.known.servers):
             events.FACTS.log(
                 other=address, store_age_s=reply.word.store_age_s, servers=len(reply.servers)
