Look again right before a request is sent whether the server still takes requests

Cause: between choosing and sending lie a call to the sidecar beside the engine and up to a second for a connection; a server that left in between got the request. A kept connection is checked as it is used, a new one when it is there, by the trace of the library, which is asked for on new connections alone.

--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -81,7 +81,8 @@
         where it may have run.
         """
         request = call.request
-        sent = Forwarded(request.method, request.target, self._headers(call), request.body)
+        headers = self._headers(call)
+        sent = Forwarded(request.method, request.target, headers, request.body, call.admitted)
         server = call.server
         async with self.links.exchange(server.lifetime, server.address, sent) as response:
             yield KeptAnswer(response, call, self._dialect)
--- a/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
@@ -7,14 +7,14 @@
 """
 
 import socket
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import anyio
 import httpcore
 
-from endivesaddle.fleet.seams import NeverSent, ServerLost
+from endivesaddle.fleet.seams import NeverSent, ServerLeft, ServerLost
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -31,6 +31,8 @@
 PROBE_S = 1
 """A connection that waits for an answer is probed each second, and broken by two misses."""
 
+BEFORE_SENDING = 'http11.send_request_headers.started'
+"""The library's name for the moment between connecting and sending."""
 NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.LocalProtocolError)
 BROKEN = (httpcore.NetworkError, httpcore.RemoteProtocolError, httpcore.TimeoutException)
 
@@ -45,12 +47,16 @@
 
 
 class Forwarded(NamedTuple):
-    """A request as it is sent: target and headers are bytes as they came."""
+    """A request as it is sent: target and headers are bytes as they came.
+
+    ``admitted`` is asked right before: does the server still take requests?
+    """
 
     method: str
     target: str
     headers: RawHeaders
     body: bytes
+    admitted: Callable[[], bool]
 
 
 class KeptLinks:
@@ -117,6 +123,11 @@
     async def _sent(
         self, connection: httpcore.AsyncHTTPConnection, address: str, request: Forwarded
     ) -> httpcore.Response:
+        extensions: dict[str, Any] = {'timeout': {'connect': CONNECT_S}}
+        if connection.is_idle():
+            _check(request)
+        else:
+            extensions['trace'] = _Gate(request)
         host, _, port = address.rpartition(':')
         url = httpcore.URL(
             scheme=b'http', host=host.encode(), port=int(port), target=request.target.encode()
@@ -126,7 +137,7 @@
             url,
             headers=list(request.headers),
             content=request.body,
-            extensions={'timeout': {'connect': CONNECT_S}},
+            extensions=extensions,
         )
         try:
             return await connection.handle_async_request(sent)
@@ -143,6 +154,28 @@
             await connection.aclose()
 
 
+class _Gate:
+    """Looks again before a request goes out on a new connection, which may take a second.
+
+    Failure: the server was chosen in time, left while the connection was made, and got the
+    request up to 1 s after it should have had none.
+    """
+
+    def __init__(self, request: Forwarded) -> None:
+        """Look for ``request``."""
+        self._request = request
+
+    async def __call__(self, event: str, facts: dict[str, Any]) -> None:
+        """Take one event of the library's trace of a request."""
+        if event == BEFORE_SENDING:
+            _check(self._request)
+
+
+def _check(request: Forwarded) -> None:
+    if not request.admitted():
+        raise ServerLeft('the server leaves')
+
+
 def error_text(error: Exception) -> str:
     """Name an error of the library, which often has no text."""
     return f'{type(error).__name__} {error}'.strip()
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -1,6 +1,6 @@
 """A request on a route, as the decisions see it, and the ports that carry it."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import NamedTuple, Protocol
 
@@ -65,14 +65,15 @@
 class ServerCall(NamedTuple):
     """One sending of a request to one server.
 
-    ``account`` is the name that the server is told, '' without one;
-    ``last_event`` the number of the last event that the caller has, -1 for none.
+    ``last_event`` is the number of the last event that the caller has, -1 for none;
+    ``admitted`` tells whether the server still takes requests.
     """
 
     request: ForwardRequest
     server: RouteServer
     end_unix_s: float
     last_event: int
+    admitted: Callable[[], bool]
 
 
 class ServerAnswer(Protocol):
@@ -103,8 +104,8 @@
     def exchange(self, call: ServerCall) -> AbstractAsyncContextManager[ServerAnswer]:
         """Send a request and give its answer.
 
-        Raises ``NeverSent`` where the server did not get it, ``ServerLost``
-        where it may have run.
+        Raises ``NeverSent`` where the server did not get it (``ServerLeft`` where it
+        is leaving), ``ServerLost`` where it may have run.
         """
 
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -86,6 +86,11 @@
         for server in servers.values():
             self.server(server, source)
 
+    def takes(self, server: RouteServer) -> bool:
+        """Tell whether this life of a server may be sent requests."""
+        known = self.servers.get(server.lifetime)
+        return known is not None and not known.leaving and known.born_unix_ms == server.born_unix_ms
+
     def of_service(self, service: str) -> tuple[RouteServer, ...]:
         """Return the servers of a service that are not leaving."""
         return self._by_service.get(service, ())
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -6,12 +6,14 @@
 """
 
 import enum
+from functools import partial
 from typing import NamedTuple
 
 import anyio
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
+from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForwardRequest,
     ServerAnswer,
@@ -23,7 +25,7 @@
 from endivesaddle.fleet.routes.reservation import Reservation
 from endivesaddle.fleet.routes.wallet import Wallet
 from endivesaddle.fleet.routing.dispatcher import Dispatcher, Place
-from endivesaddle.fleet.seams import NeverSent, ServerLost
+from endivesaddle.fleet.seams import NeverSent, ServerLeft, ServerLost
 from endivesaddle.fleet.sentinels import HAS_RUN, NOT_RUN, RUN_UNKNOWN, Refusal
 
 GRACE_S = 0.03
@@ -146,7 +148,7 @@
         """Send it to one server and pass on what comes."""
         request = self.request
         server = place.lane.server
-        call = ServerCall(request, server, request.end_unix_s, self._progress.last_event)
+        call = self._call(server)
         events.PLACED.log(
             request_id=request.request_id,
             server=server.lifetime,
@@ -164,6 +166,10 @@
                 outcome = await self._answered(place, answer)
                 well = outcome in {Outcome.DONE, Outcome.DECLINED}
                 return outcome
+        except ServerLeft as error:
+            self._progress.not_run()
+            well = True
+            return self._failed(place, Outcome.NOT_SENT, str(error))
         except NeverSent as error:
             self._progress.not_run()
             place.silent()
@@ -173,6 +179,14 @@
         finally:
             place.end(well)
 
+    def _call(self, server: RouteServer) -> ServerCall:
+        known = self._runner.dispatcher.known
+        last_event = self._progress.last_event
+        request = self.request
+        return ServerCall(
+            request, server, request.end_unix_s, last_event, partial(known.takes, server)
+        )
+
     def _failed(self, place: Place, outcome: Outcome, reason: str) -> Outcome:
         events.SENDING_FAILED.log(
             request_id=self.request.request_id,
--- a/packages/fleet/src/endivesaddle/fleet/seams.py
+++ b/packages/fleet/src/endivesaddle/fleet/seams.py
@@ -211,5 +211,9 @@
     """The backend server was not reached: it did not run the request."""
 
 
+class ServerLeft(NeverSent):
+    """The backend server began to leave before the request was on its way."""
+
+
 class ServerLost(Exception):
     """The backend server broke off or fell silent: it may have run the request."""
