Tell the sidecars beside engines at once of long prompts alone

Cause: a word about one long prompt took with it words about all engines where anything had changed, and each engine with work was told of each second.

Start without the library of the command line where settings come from a file: a router imports in 0.37 to 0.48 s of processor time, before in 0.58 to 0.68 s.

--- /dev/null
+++ b/features/steps/desks_steps.py
@@ -0,0 +1,44 @@
+"""Steps of desks.feature."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from subjects.desks import ToldDesks
+
+
+@given('a router before {engines:d} engines with sidecars')
+def start(context: Any, engines: int) -> None:
+    """Start them."""
+    context.told = ToldDesks(engines)
+    context.add_cleanup(context.told.close)
+
+
+@when('it carries {long:d} long and {short:d} short prompts a second for {seconds:d} seconds')
+def carry(context: Any, long: int, short: int, seconds: int) -> None:
+    """Carry them."""
+    context.told.carry(long, short, seconds)
+
+
+@when('it is killed, and {seconds:d} seconds go by')
+def kill(context: Any, seconds: int) -> None:
+    """End it."""
+    context.told.kill(seconds)
+
+
+@then('the sidecars are called at most {most:d} times a second')
+def calls(context: Any, most: int) -> None:
+    """Count the calls."""
+    assert context.told.calls_per_s() <= most, context.told.calls_per_s()
+
+
+@then('each sidecar heard of the router in the last {seconds:g} seconds')
+def heard(context: Any, seconds: float) -> None:
+    """Look at the one that waits longest."""
+    assert context.told.oldest_s() <= seconds, context.told.oldest_s()
+
+
+@then('no sidecar counts anything of it')
+def forgotten(context: Any) -> None:
+    """Look at what they count."""
+    assert all(load == (0, 0) for load in context.told.counted()), context.told.counted()
--- /dev/null
+++ b/features/subjects/desks.py
@@ -0,0 +1,121 @@
+"""Subject: one router that tells the sidecars beside engines what it has under way."""
+
+import asyncio
+from typing import NamedTuple
+
+import anyio
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routes.desks import SidecarDesks, answer_desk
+from endivesaddle.fleet.routing.engine_desk import EngineDesk, Load
+from endivesaddle.fleet.routing.lanes import ForwardWant, Lanes
+from endivesaddle.stand_ins.memory_peers import MemoryNet
+from endivesaddle.wire import rpcs
+from subjects.links_loop import ScenarioLoop
+
+ROUTER = 'router-1'
+STEP_S = 0.02
+ENDS_S = 0.3
+LONG_TOKENS = 3000
+SHORT_TOKENS = 300
+
+
+class Sidecars(NamedTuple):
+    """The instances that the router knows."""
+
+    sidecars: tuple[str, ...]
+
+
+class ToldDesks:
+    """A router and the sidecars of its engines, on one loop in virtual time."""
+
+    def __init__(self, engines: int) -> None:
+        """Start them."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._net = MemoryNet(self._clock)
+        self._servers = [
+            RouteServer(f'life-{number}', 'engines', f'10.0.1.{number}:8', 'a', 64)
+            for number in range(engines)
+        ]
+        self.desks = [EngineDesk() for _ in range(engines)]
+        self.heard_unix_s: dict[str, float] = {}
+        self.seconds = 0.0
+        self._carried = 0
+        self._loop.run(self._start)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def carry(self, long_per_s: int, short_per_s: int, seconds: float) -> None:
+        """Carry prompts at the engines in turn."""
+        self.seconds = seconds
+        self._loop.run(self._carry, long_per_s, short_per_s, seconds)
+
+    def kill(self, seconds: float) -> None:
+        """End the router, and let time pass."""
+        self._task.cancel()
+        self._loop.run(anyio.sleep, seconds)
+
+    def calls_per_s(self) -> float:
+        """Return how many calls the sidecars had a second."""
+        return self._net.calls[rpcs.ENTER.path] / 2 / self.seconds
+
+    def oldest_s(self) -> float:
+        """Return how long ago the sidecar that waits longest heard of the router."""
+        return self._loop.run(self._oldest_s)
+
+    def counted(self) -> list[Load]:
+        """Return what the sidecars count of all routers."""
+        return self._loop.run(self._counted)
+
+    async def _start(self) -> None:
+        addresses = []
+        for desk, server in zip(self.desks, self._servers, strict=True):
+            handlers = Handlers()
+            answer_desk(handlers, desk, self._clock)
+            address = server.address.replace(':8', ':7')
+            self._net.serve(address, handlers)
+            addresses.append(address)
+        self._net.observers.append(self._observe)
+        self.lanes = Lanes()
+        peers = self._net.peers('10.0.0.1:1')
+        roster = Sidecars(tuple(addresses))
+        self.router = SidecarDesks(self.lanes, roster, peers, self._clock, ROUTER)
+        self._task = asyncio.ensure_future(self.router.run())
+
+    async def _observe(self, moment: object) -> None:
+        receiver = getattr(moment, 'receiver', '')
+        self.heard_unix_s[receiver] = self._clock.now_s()
+
+    async def _carry(self, long_per_s: int, short_per_s: int, seconds: float) -> None:
+        async with anyio.create_task_group() as group:
+            for step in range(int(seconds / STEP_S)):
+                due_long = int((step + 1) * STEP_S * long_per_s)
+                due_short = int((step + 1) * STEP_S * short_per_s)
+                for _ in range(due_long - int(step * STEP_S * long_per_s)):
+                    group.start_soon(self._prompt, LONG_TOKENS)
+                for _ in range(due_short - int(step * STEP_S * short_per_s)):
+                    group.start_soon(self._prompt, SHORT_TOKENS)
+                await anyio.sleep(STEP_S)
+
+    async def _prompt(self, tokens: int) -> None:
+        self._carried += 1
+        lane = self.lanes.of(self._servers[self._carried % len(self._servers)])
+        want = ForwardWant(f'r-{self._carried}', 'engines', (), tokens, 100)
+        lane.sent(want, self._clock.now_s())
+        await anyio.sleep(ENDS_S / 2)
+        lane.began(want)
+        self.router.changed(lane, soon=tokens >= LONG_TOKENS)
+        await anyio.sleep(ENDS_S / 2)
+        lane.ended(want)
+        self.router.changed(lane, soon=False)
+
+    async def _oldest_s(self) -> float:
+        return self._clock.now_s() - min(self.heard_unix_s.values())
+
+    async def _counted(self) -> list[Load]:
+        return [desk.others('nobody', self._clock.now_s()) for desk in self.desks]
--- a/packages/daemon/src/endivesaddle/daemon/forwarder_settings.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder_settings.py
@@ -1,9 +1,6 @@
 """Settings of a forwarding router."""
 
 import dataclasses
-from typing import Annotated
-
-import cappa
 
 from endivesaddle.callers.settings import CallersSettings
 from endivesaddle.daemon.settings import LogSettings
@@ -42,8 +39,8 @@
 class ForwarderSettings:
     """All settings of a forwarding router."""
 
-    place: Annotated[PlaceSettings, cappa.Arg.destructured()]
-    logs: Annotated[LogSettings, cappa.Arg.destructured()] = LogSettings()
-    http: Annotated[CallersSettings, cappa.Arg.destructured()] = CallersSettings()
-    links: Annotated[InstancesSettings, cappa.Arg.destructured()] = InstancesSettings()
-    forward: Annotated[ForwardSettings, cappa.Arg.destructured()] = ForwardSettings()
+    place: PlaceSettings
+    logs: LogSettings = LogSettings()
+    http: CallersSettings = CallersSettings()
+    links: InstancesSettings = InstancesSettings()
+    forward: ForwardSettings = ForwardSettings()
--- a/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
+++ b/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
@@ -5,10 +5,8 @@
 """
 
 import dataclasses
-from typing import Annotated
 
 import anyio
-import cappa
 
 from endivesaddle.daemon import events
 from endivesaddle.daemon.settings import LogSettings
@@ -49,8 +47,8 @@
         'listen', 'ip:port for the routers', '127.0.0.1:0', options.address
     )
     data_centre: str = options.option('data-centre', 'data centre of this instance', 'one')
-    logs: Annotated[LogSettings, cappa.Arg.destructured()] = LogSettings()
-    links: Annotated[InstancesSettings, cappa.Arg.destructured()] = InstancesSettings()
+    logs: LogSettings = LogSettings()
+    links: InstancesSettings = InstancesSettings()
 
 
 class StoreSidecar:
--- a/packages/fleet/src/endivesaddle/fleet/routes/desks.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/desks.py
@@ -21,8 +21,8 @@
 """A sidecar that did not answer is not asked for so long."""
 GATHER_S = 0.01
 """Changes within this are told in one word."""
-REFRESH_S = 1.0
-"""What goes on is told again so often, that a sidecar may forget routers that are gone."""
+REFRESH_S = 3.0
+"""All else is told so often, so that a sidecar may forget routers that are gone."""
 
 
 class SidecarDesks:
@@ -42,7 +42,8 @@
         self._by_host: dict[str, str] = {}
         self._by_host_of: Collection[str] = ()
         self._changed: dict[str, Lane] = {}
-        self._soon = anyio.Event()
+        self._soon: dict[str, Lane] = {}
+        self._any_soon = anyio.Event()
 
     async def ask(self, lane: Lane, tokens: int, most_tokens: int) -> bool:
         """Ask for a place for a prompt; True where it may go there, or nobody could be asked."""
@@ -65,7 +66,8 @@
         """Tell what is under way at an engine now, ``soon`` or with the next word."""
         self._changed[lane.server.lifetime] = lane
         if soon:
-            self._soon.set()
+            self._soon[lane.server.lifetime] = lane
+            self._any_soon.set()
 
     async def run(self) -> None:
         """Tell what changed, and what goes on, until cancelled."""
@@ -73,20 +75,22 @@
         async with anyio.create_task_group() as group:
             while True:
                 with anyio.move_on_after(REFRESH_S):
-                    await self._soon.wait()
+                    await self._any_soon.wait()
                 await anyio.sleep(GATHER_S)
-                self._soon = anyio.Event()
+                self._any_soon = anyio.Event()
                 if self._clock.now_s() >= refresh_unix_s:
                     refresh_unix_s = self._clock.now_s() + REFRESH_S
                     self._refresh()
-                for lane in self._changed.values():
+                for lane in self._soon.values():
                     group.start_soon(self._tell, lane)
-                self._changed = {}
+                self._soon = {}
 
     def _refresh(self) -> None:
+        self._soon.update(self._changed)
+        self._changed = {}
         for lane in self._lanes.all():
             if lane.own_in_flight:
-                self._changed[lane.server.lifetime] = lane
+                self._soon[lane.server.lifetime] = lane
 
     async def _tell(self, lane: Lane) -> None:
         address = self._beside(lane)
@@ -104,6 +108,7 @@
         return reply
 
     def _word(self, lane: Lane) -> EnterRequest:
+        self._changed.pop(lane.server.lifetime, None)
         return EnterRequest(
             lifetime=self._lifetime,
             number=next(self._numbers),
--- a/packages/fleet/src/endivesaddle/fleet/routing/engine_desk.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/engine_desk.py
@@ -7,9 +7,11 @@
 
 from typing import NamedTuple
 
-STALE_S = 2.0
+READ_S = 2.0
+"""Prompts that a router told of so long ago are read, or the router is gone."""
+STALE_S = 6.5
 """What a router has under way is forgotten when it was not heard for so long: it tells each
-second while it has anything there."""
+3 s while it has anything there."""
 
 
 class Load(NamedTuple):
@@ -28,9 +30,10 @@
 
 
 class _Heard(NamedTuple):
-    """A router's newest word, and until when it counts."""
+    """A router's newest word, and until when its prompts and its requests count."""
 
     word: Word
+    reading_until_unix_s: float
     until_unix_s: float
 
 
@@ -45,16 +48,18 @@
         """Take in what a router has under way; an older word changes nothing."""
         heard = self._heard.get(word.lifetime)
         if heard is None or heard.word.number < word.number:
-            self._heard[word.lifetime] = _Heard(word, now_unix_s + STALE_S)
+            self._heard[word.lifetime] = _Heard(word, now_unix_s + READ_S, now_unix_s + STALE_S)
 
     def others(self, lifetime: str, now_unix_s: float) -> Load:
         """Return what all routers but one have under way."""
         self._heard = {
             name: heard for name, heard in self._heard.items() if heard.until_unix_s > now_unix_s
         }
-        loads = [heard.word.load for name, heard in self._heard.items() if name != lifetime]
+        others = [heard for name, heard in self._heard.items() if name != lifetime]
+        reading = [heard for heard in others if heard.reading_until_unix_s > now_unix_s]
         return Load(
-            sum(load.reading_tokens for load in loads), sum(load.in_flight for load in loads)
+            sum(heard.word.load.reading_tokens for heard in reading),
+            sum(heard.word.load.in_flight for heard in others),
         )
 
     def ask(self, word: Word, asked_tokens: int, most_tokens: int, now_unix_s: float) -> bool:
--- a/packages/fleet/src/endivesaddle/fleet/settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/settings.py
@@ -8,14 +8,14 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
-import cappa
-
-from endivesaddle.fleet.errors import EXIT_USAGE
-
 PREFIX = 'ENDIVESADDLE_'
+REQUIRED = object()
+"""The default of a setting that has to be given."""
+COMMAND_LINE = 'cappa'
+"""Where the library of the command line looks for a field's argument."""
 
 
 def variable(flag: str) -> str:
@@ -26,59 +26,41 @@
 def option(
     flag: str,
     help_text: str,
-    default: Any = cappa.Empty,
+    default: Any = REQUIRED,
     parse: Callable[[str], Any] | None = None,
 ) -> Any:
     """Return the dataclass field of a setting; its default holds in tests, too.
 
     Without a default the flag or its variable has to be given.
     """
-    metadata = {'cappa': argument(flag, help_text, default, parse)}
-    if default is cappa.Empty:
+    metadata = _Argument(flag, help_text, default, parse)
+    if default is REQUIRED:
         return dataclasses.field(metadata=metadata)
     return dataclasses.field(default=default, metadata=metadata)
 
 
-def argument(
-    flag: str,
-    help_text: str,
-    default: Any = cappa.Empty,
-    parse: Callable[[str], Any] | None = None,
-) -> Any:
-    """Declare a setting: ``--flag``, its variable, its default and its check.
-
-    ``parse`` takes the text and raises ``ValueError`` that says what is allowed.
-    """
-    fallback = _required(flag) if default is cappa.Empty else lambda: default
-    checked: dict[str, Any] = {}
-    if parse is not None:
-        checked['parse'] = _naming(flag, parse)
-    return cappa.Arg(
-        long=f'--{flag}',
-        default=cappa.Default(cappa.Env(variable(flag)), cappa.ValueFrom(fallback)),
-        help=f'{help_text} [{variable(flag)}]',
-        **checked,
-    )
+class _Argument(Mapping[str, Any]):
+    """A field's argument, made where the command line asks for it."""
 
+    def __init__(self, *declared: Any) -> None:
+        """Take what ``arguments.argument`` takes."""
+        self._declared = declared
 
-def _required(flag: str) -> Callable[[], Any]:
-    def fail() -> Any:
-        raise cappa.Exit(f'--{flag} ({variable(flag)}) has to be given', code=EXIT_USAGE)
+    def __getitem__(self, key: str) -> Any:
+        """Return the argument."""
+        if key != COMMAND_LINE:
+            raise KeyError(key)
+        from endivesaddle.fleet.arguments import argument  # noqa: PLC0415 (see there)
 
-    return fail
+        return argument(*self._declared)
 
+    def __iter__(self) -> Iterator[str]:
+        """Name the one key."""
+        return iter((COMMAND_LINE,))
 
-def _naming(flag: str, parse: Callable[[str], Any]) -> Callable[[str], Any]:
-    def checked(text: str) -> Any:
-        try:
-            return parse(text)
-        except ValueError as error:
-            raise cappa.Exit(
-                f'--{flag} ({variable(flag)}): {text!r} is not allowed; {error}',
-                code=EXIT_USAGE,
-            ) from None
-
-    return checked
+    def __len__(self) -> int:
+        """Count it."""
+        return 1
 
 
 def number(low: float, high: float) -> Callable[[str], float]:
--- a/packages/operators/src/endivesaddle/operators/cli.py
+++ b/packages/operators/src/endivesaddle/operators/cli.py
@@ -8,8 +8,8 @@
 import cappa
 import msgspec
 
+from endivesaddle.fleet.arguments import argument
 from endivesaddle.fleet.errors import EXIT_USAGE, UserError
-from endivesaddle.fleet.settings import argument
 from endivesaddle.operators import client
 from endivesaddle.operators.commands import COMMANDS
 from endivesaddle.operators.lines import line_of
