Let the stand-in of a store that is down say nothing, instead of failing a task

Traced: tracebacks of StoreUnreachable at the end of runs of several features in one process came from a task of the gateway's that nobody awaits.

--- a/features/subjects/kv_gateway.py
+++ b/features/subjects/kv_gateway.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.errors import StoreUnreachable
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
 from endivesaddle.stand_ins.memory_store import MemoryStore
@@ -34,7 +35,11 @@
             await _reply(send, self.status, {})
             return
         query = dict(parse_qsl(scope.get('query_string', b'').decode()))
-        status, document = await self._answer(scope['path'], query, body)
+        try:
+            status, document = await self._answer(scope['path'], query, body)
+        except StoreUnreachable:
+            # A store that is down says nothing.
+            await anyio.sleep_forever()
         if self.lose:
             self.lose -= 1
             await anyio.sleep_forever()
