--- a/packages/fleet/src/endivesaddle/fleet/routes/lateness.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/lateness.py
@@ -15,7 +15,7 @@
 LOOK_S = 0.1
 KEPT_S = 1.0
 TOLD_S = 0.25
-"""So much lateness is logged: a quarter of the time that a call between instances has."""
+"""So much lateness is logged: a keeper's answer that is there counts as none by then."""
 
 
 class _Look(NamedTuple):
