--- a/features/leaving_servers.feature
+++ b/features/leaving_servers.feature
@@ -12,6 +12,13 @@
     And 0.1 seconds later router 0 knows of it, and hears no more of the store
     Then router 0 does not choose server 0 in the next 6 seconds
 
+  Scenario: An answer of the store that was under way does not undo what came meanwhile
+    While a router waits for the store's list of servers, another router tells it a newer one, in
+    which a server leaves.  The store's answer comes after it, as of the moment it was made.
+    Given a router that another one told as of version 5 that the only server leaves
+    When the store's list of version 1 arrives, in which the server takes requests
+    Then the router does not choose the server
+
   Scenario: A server that leaves while the connection to it is made gets nothing
     The way from the caller to the server took 0.77 s, where 10 ms are usual.  The server was
     chosen while it still took requests, and left before the connection to it was there.
--- a/features/steps/leaving_servers_steps.py
+++ b/features/steps/leaving_servers_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from subjects.leaving_servers import LeavingServers
+from subjects.leaving_servers import SERVICE, LateAnswer, LeavingServers
 from subjects.slow_connections import SlowConnections
 
 
@@ -24,6 +24,24 @@
     context.add_cleanup(context.play.close)
 
 
+@given('a router that another one told as of version {version:d} that the only server leaves')
+def told(context: Any, version: int) -> None:
+    """Tell it."""
+    context.play = LateAnswer(version)
+
+
+@when("the store's list of version {version:d} arrives, in which the server takes requests")
+def late_answer(context: Any, version: int) -> None:
+    """Let it arrive."""
+    assert context.play.arrive() == version
+
+
+@then('the router does not choose the server')
+def not_chosen_late(context: Any) -> None:
+    """Look what it may choose."""
+    assert not context.play.known.of_service(SERVICE)
+
+
 @given('a router whose connections take {seconds:g} seconds')
 def slow(context: Any, seconds: float) -> None:
     """Make its connections slow."""
--- a/features/subjects/leaving_servers.py
+++ b/features/subjects/leaving_servers.py
@@ -10,6 +10,8 @@
 from endivesaddle.fleet.errors import StoreUnreachable
 from endivesaddle.fleet.ports import Handlers, Stored
 from endivesaddle.fleet.routes.declared import Declared, RouteAccount, RouteServer
+from endivesaddle.fleet.routes.following import Follower
+from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.routes.remote_store import answer_store
 from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
 from endivesaddle.fleet.routes.shared_polls import SharedPolls
@@ -163,5 +165,35 @@
         return found
 
 
+class LateAnswer:
+    """One router that follows a store, and heard newer news of another router."""
+
+    def __init__(self, version: int) -> None:
+        """Have it told that the only server leaves."""
+        self.known = Known()
+        server = RouteServer(_server(0), SERVICE, '10.0.2.0:1', 'porto-a', 64)
+        self._server = server
+        self.known.server(server, 'test')
+        left = server._replace(leaving=True)
+        self.known.replace({server.lifetime: left}, version, 'router-1')
+
+    def arrive(self) -> int:
+        """Let the store's own list arrive; return its version."""
+        loop = ScenarioLoop()
+        version: int = loop.run(self._arrive)
+        loop.close()
+        return version
+
+    async def _arrive(self) -> int:
+        clock = LoopClock()
+        store = MemoryStore(clock)
+        entry = msgspec.json.encode(self._server)
+        version = store.put(f'{SERVERS}{self._server.lifetime}', entry).version
+        follower = Follower(store, Entries(), self.known, clock, Contact(clock))
+        with anyio.move_on_after(1):
+            await follower.run()
+        return version
+
+
 def _server(number: int) -> str:
     return f'life-{number}'
