Pass over a list of servers that is older than what is known

The same cause as in the incident, found by looking for it elsewhere: a list that was under way when another router told a newer one took its place. Before: leaving_servers.feature, second scenario, red; after: green. What changed since comes by the poll that follows, which goes on from the older version.

--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -161,6 +161,9 @@
             self._known.declare(declared, document, 'store')
 
     def _list_servers(self, changes: Changes) -> None:
+        if changes.version < self._known.servers_version:
+            # It was under way while another router told a newer list.
+            return
         self._known.heard_servers(changes.version, self._clock.now_s())
         present = set()
         for stored in changes.entries:
