--- a/features/steps/desks_steps.py
+++ b/features/steps/desks_steps.py
@@ -38,6 +38,12 @@
     assert context.told.oldest_s() <= seconds, context.told.oldest_s()
 
 
+@then('the sidecars were told {times:d} times at once')
+def told(context: Any, times: int) -> None:
+    """Count the words that did not wait for the next one."""
+    assert context.runs.desks.soon_count == times, context.runs.desks.soon_count
+
+
 @then('no sidecar counts anything of it')
 def forgotten(context: Any) -> None:
     """Look at what they count."""
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -26,8 +26,10 @@
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.routes.running import Runner
 from endivesaddle.fleet.routes.wallet import Wallet, WalletParts
+from endivesaddle.fleet.routing.choosing import NoDesks
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
+from endivesaddle.fleet.routing.lanes import Lane
 from endivesaddle.fleet.seams import NeverSent, ServerLost
 from endivesaddle.fleet.sentinels import Refusal
 from endivesaddle.stand_ins.memory_peers import MemoryNet
@@ -223,6 +225,18 @@
         self.finished = True
 
 
+class CountingDesks(NoDesks):
+    """Sidecars beside engines that count what they are told at once."""
+
+    def __init__(self) -> None:
+        """Start at none."""
+        self.soon_count = 0
+
+    def changed(self, lane: Lane, soon: bool) -> None:
+        """Count a word that does not wait."""
+        self.soon_count += soon
+
+
 class Alone:
     """A router that knows no others."""
 
@@ -326,6 +340,8 @@
             WalletParts('one', 'one', self._known, keepers, keeper, peers, self._clock)
         )
         dispatcher = Dispatcher(ForwardSettings(), self._known, self._clock, 'one')
+        self.desks = CountingDesks()
+        dispatcher.desks = self.desks
         self.runner = Runner(dispatcher, self.wallet, self.links, self._clock)
 
     async def _request(self) -> None:
