--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -172,7 +172,6 @@
         # and what was not given back in time was lost, up to 10% of a total at one stop.
         with anyio.move_on_after(RELEASE_S):
             await self._give_back()
-            await self.parts.roster.leave()
         while self._app.open_count and self._clock.now_s() < end_unix_s:
             await anyio.sleep(LOOK_S)
         with anyio.move_on_after(RELEASE_S):
--- a/packages/fleet/src/endivesaddle/fleet/routes/lateness.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/lateness.py
@@ -15,7 +15,7 @@
 LOOK_S = 0.1
 KEPT_S = 1.0
 TOLD_S = 0.25
-"""So much lateness is logged: a keeper's answer that is there counts as none by then."""
+"""So much lateness is logged: a keeper has no more time than that for its answer."""
 
 
 class _Look(NamedTuple):
--- a/packages/fleet/src/endivesaddle/fleet/routes/roster.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/roster.py
@@ -70,10 +70,11 @@
         self._lease_id = lease_id
 
     async def end(self) -> None:
-        """Take the entry away: whoever stops is asked for nothing more.
+        """Take the entry away: a sidecar that stops is asked for nothing more.
 
-        Without it a sidecar that was replaced stayed on record for 90 s, and each call to it took
-        all the time that the call may.
+        Without it one that was replaced stayed on record for 90 s, and each call to it took all
+        the time that the call may.  Routers stay: while one starts again, the others would take
+        its part of the repeats that a service bears.
         """
         self._ended = True
         if not self._lease_id:
@@ -144,10 +145,6 @@
                 continue
             await anyio.sleep(FIRST_LOOK_S if looks < FIRST_LOOKS else RENEW_S)
 
-    async def leave(self) -> None:
-        """Take this router's entry away, at a graceful stop."""
-        await self._entry.end()
-
     def heard(self, lifetime: str, address: str) -> None:
         """Take in a router that made itself known by a call."""
         if lifetime != self._own.lifetime:
