--- a/features/leaving_servers.feature
+++ b/features/leaving_servers.feature
@@ -5,7 +5,8 @@
   Scenario: What another router heard before does not bring back a server that left
     Callers' requests reached a server 3.65 s after it had said that it leaves.  A router knew of
     it, then got no answer from the store in time, and asked another router.  That one had heard
-    the store last before the server's word, told its older list, and the server was chosen again.
+    the store last before the server's word, told its older list, and the server was chosen again:
+    "server_known leaving=False source=10.0.0.1:1" behind "leaving=True source=store".
     Given 2 routers that follow the entries of 2 servers
     When router 1 hears no more of the store
     And 0.2 seconds later server 0 says that it leaves
--- a/packages/fleet/src/endivesaddle/fleet/routes/avoided.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/avoided.py
@@ -20,7 +20,7 @@
         self._failures: dict[str, int] = {}
 
     def failed(self, address: str, for_s: float = 0.0) -> None:
-        """Pass an address over, for ``for_s`` where that is known."""
+        """Pass an address over; ``for_s`` where it said itself for how long."""
         failures = self._failures.get(address, 0)
         pause_s = for_s or min(self._most_s, self._first_s * 2**failures)
         self._failures[address] = failures + 1
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -173,7 +173,8 @@
             self._missing(lifetime)
 
     def _change_servers(self, changes: Changes) -> None:
-        # Another router may have told newer ones, while the store did not answer here.
+        # What another router told while the store did not answer here may be newer than a part of
+        # these: taken in again, that part would bring back servers that have left.
         newer_than = self._known.servers_version
         self._known.heard_servers(changes.version, self._clock.now_s())
         for stored in changes.entries:
--- a/packages/fleet/src/endivesaddle/fleet/routes/lateness.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/lateness.py
@@ -13,7 +13,9 @@
 from endivesaddle.fleet.routes import store_events as events
 
 LOOK_S = 0.1
+"""Between looks; each is one wake-up of the process."""
 KEPT_S = 1.0
+"""The worst of so long is shown."""
 TOLD_S = 0.25
 """So much lateness is logged: a keeper has no more time than that for its answer."""
 
@@ -34,7 +36,7 @@
         self._looks: deque[_Look] = deque()
 
     async def run(self) -> None:
-        """Look until cancelled."""
+        """Look until cancelled; each look that is late by ``TOLD_S`` is logged."""
         while True:
             due_unix_s = self._clock.now_s() + LOOK_S
             await anyio.sleep(LOOK_S)
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -102,7 +102,11 @@
         return self._clock.now_s()
 
     def servers_heard_s(self) -> float:
-        """Return how long ago, in seconds, the store told of the servers last."""
+        """Return how long ago, in seconds, the store told of the servers here.
+
+        A poll that waits for a change counts from its beginning: 2.7 s are the most while the store
+        answers.
+        """
         return round(self.now_s() - self.known.servers_heard_unix_s, 2)
 
     async def place(self, request: ForwardRequest, exclude: frozenset[str]) -> Place | Refusal:
