Take back a share of processor time that was read off a simulated clock

The profile counted simulated time, in which the code's own work hardly shows. What stands: 6 words for a stream of 6 events before, 1 after, and 1.06 ms of both ends' processors for a call.

--- a/features/desks.feature
+++ b/features/desks.feature
@@ -10,8 +10,8 @@
     And each sidecar heard of the router in the last 3.5 seconds
 
   Scenario: A prompt is told of once when it is read
-    Each event of a stream told the sidecar beside the engine again that its prompt was read: with
-    40 events in a stream, calls to these sidecars took a third of a router's processor time.
+    Each event of a stream told the sidecar beside the engine again that its prompt was read: 6
+    words for a stream of 6 events.
     Given a streamed route with 1 attempts, whose servers answers
     When a request is forwarded
     Then the caller got the events up to 5, each once
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -50,8 +50,8 @@
     def began(self) -> None:
         """Note an event of the answer; the first one tells that the prompt is read.
 
-        Told to the sidecar beside the engine at each event, it took a third of a router's
-        processor time (profile of 10 s).
+        Told to the sidecar beside the engine at each event, a stream of 40 events made 40 calls, of
+        1.06 ms of both ends' processors each (2,000 calls in one process).
         """
         if self._want.key not in self.lane.reading:
             return
