Reproduce large declarations that never arrive at a router without the store, failing

Cause: a list of the store through a sidecar, and a document told by another router, have one time limit over all that arrives. On a link of 5 Mbit/s a configuration of 2,000 routes takes longer, is thrown away, and is sent again, so that the link is full of what nobody takes. Stand-in: answers to an instance may have a thin link, on which one follows the other.

--- /dev/null
+++ b/features/large_declarations.feature
@@ -0,0 +1,21 @@
+Feature: Declarations that take a while to arrive
+  A configuration of 2,000 routes takes most of a second on the link of a small router.
+
+  Scenario: A router that is cut off gets a large configuration through a sidecar
+    The caller of a new route is told 404 by a router that lost the store.  It asked a sidecar for
+    the whole list with one time limit over all, which ran out while the answer arrived: what had
+    come was thrown away, and the next try filled the link again.
+    Given 4 routers on links of 5 Mbit/s, and 2 sidecars
+    When 4 of the routers are cut off from the store
+    And a configuration of 2000 routes is written
+    Then all routers have it in force within 4 seconds
+    And the link of each router carried at most 2 times what was written
+
+  Scenario: A router that is cut off gets a large configuration from another router
+    The caller of a new route is told 404 by a router that lost the store and knows no sidecar.  All
+    other routers sent it the whole document at once, each with a time limit that was too short.
+    Given 6 routers on links of 5 Mbit/s, and 0 sidecars
+    When 1 of the routers are cut off from the store
+    And a configuration of 2000 routes is written
+    Then all routers have it in force within 4 seconds
+    And the link of each router carried at most 2 times what was written
--- a/packages/stand_ins/src/endivesaddle/stand_ins/memory_peers.py
+++ b/packages/stand_ins/src/endivesaddle/stand_ins/memory_peers.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -61,6 +62,9 @@
         self.faults: dict[tuple[str, str], Fault] = {}
         self.observers: list[Observer] = []
         self.group: TaskGroup | None = None
+        self.thin: dict[str, float] = {}
+        self.arrived_bytes: Counter[str] = Counter()
+        self._taken_until_s: dict[str, float] = {}
         self.sent_bytes: dict[str, int] = {}
         self.calls: dict[str, int] = {}
 
@@ -96,6 +100,18 @@
         if self.group is not None:
             self.group.start_soon(_deliver_late, handlers, rpc, raw)
 
+    async def carry(self, address: str, size_bytes: int) -> None:
+        """Bring an answer to an address, over its link of ``thin`` bytes a second if it has one.
+
+        One follows the other there, also one that nobody waits for any more.
+        """
+        self.arrived_bytes[address] += size_bytes
+        if address in self.thin:
+            now_s = self.clock.now_s()
+            begins_s = max(now_s, self._taken_until_s.get(address, 0))
+            self._taken_until_s[address] = begins_s + size_bytes / self.thin[address]
+            await anyio.sleep(self._taken_until_s[address] - now_s)
+
     def heal(self) -> None:
         """Remove all faults of links."""
         self.faults.clear()
@@ -131,6 +147,7 @@
             reply = await self._deliver(address, handlers, rpc, raw)
             await self._net.pass_by('answered', rpc.path, self._own, address, reply)
             await self._return(address)
+            await self._net.carry(self._own, reply.ByteSize())
             self._count(rpc.path, reply.ByteSize())
             return rpc.answered.FromString(reply.SerializeToString())
         raise PeerSilent(f'{address} did not answer {rpc.path} by the deadline')
@@ -153,6 +170,8 @@
                 chunk = await anext(chunks, None)
                 await self._net.pass_by('chunk', rpcs.FOLLOW.path, self._own, address, chunk)
                 await self._pass_back(address)
+                if chunk is not None:
+                    await self._net.carry(self._own, chunk.ByteSize())
                 silent = False
             # A chunk that left the other end and was lost on the way must not come late.
             if silent:
