Serve callers of forwarding routers with uvicorn's httptools protocol

Cause: hypercorn had more than half of what was left of an event. Its server is not used: it takes signals and wakes ten times a second. The protocol gets the declared bounds on heads and silence, which the parser lacks, and refuses codings that it takes for no body.

--- /dev/null
+++ b/features/subjects/forward_http.py
@@ -0,0 +1,146 @@
+"""Subject: the listener of a forwarding router on a real socket, spoken to byte by byte."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import anyio
+
+from endivesaddle.callers.settings import CallersSettings
+from endivesaddle.daemon.forward_http import serve_http
+from endivesaddle.fleet.routes.declared import Declared, RequestLimits
+from endivesaddle.fleet.routes.known import Known
+
+GUARD_S = 20
+IDLE_MS = 300
+HEADER_BYTES = 2000
+END = b'0\r\n\r\n'
+Message = MutableMapping[str, Any]
+
+
+class EchoApp:
+    """Answers with the target and the body; paths say what else it does."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.asked: list[str] = []
+        self.left = anyio.Event()
+        self.held = anyio.Event()
+
+    async def __call__(
+        self,
+        scope: MutableMapping[str, Any],
+        receive: Callable[[], Awaitable[Message]],
+        send: Callable[[Message], Awaitable[None]],
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        target = scope['raw_path'].partition(b'?')[0]
+        if scope['query_string']:
+            target = b'%s?%s' % (target, scope['query_string'])
+        body = await _body(receive)
+        self.asked.append(f'{scope["method"]} {target.decode()} {body.decode()}')
+        if target == b'/left':
+            assert (await receive())['type'] == 'http.disconnect'
+            self.left.set()
+            return
+        await send({'type': 'http.response.start', 'status': 200, 'headers': []})
+        await send({'type': 'http.response.body', 'body': target, 'more_body': True})
+        if target == b'/cut':
+            return
+        if target == b'/held':
+            await self.held.wait()
+        await send({'type': 'http.response.body', 'body': b'.', 'more_body': False})
+
+
+async def _body(receive: Callable[[], Awaitable[Message]]) -> bytes:
+    parts = b''
+    while True:
+        message = await receive()
+        parts += message.get('body', b'')
+        if not message.get('more_body'):
+            return parts
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Hold on to both directions."""
+        self.reader = reader
+        self.writer = writer
+
+    async def rest(self) -> bytes:
+        """Return all that comes until the connection is closed."""
+        try:
+            return await self.reader.read()
+        except ConnectionError:
+            return b'reset'
+
+
+class ForwardHttp:
+    """The listener; ``play`` runs moves of a scenario against it."""
+
+    def __init__(self) -> None:
+        """Serve the limits that are declared."""
+        self.app = EchoApp()
+        self.closed = anyio.Event()
+        self.address = ''
+        self.got = b''
+        self.took_s = 0.0
+        known = Known()
+        limits = RequestLimits(header_bytes=HEADER_BYTES, idle_ms=IDLE_MS)
+        known.declare(Declared(1, (), (), (), limits), b'', 'test')
+        self._known = known
+
+    def play(self, moves: Callable[['ForwardHttp'], Awaitable[None]]) -> None:
+        """Serve while moves are made; returns when the listener has ended."""
+        anyio.run(self._play, moves)
+
+    async def connect(self) -> Caller:
+        """Open a connection."""
+        host, _, port = self.address.rpartition(':')
+        return Caller(*await asyncio.open_connection(host, int(port)))
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes on a new connection, and take all until it is closed."""
+        caller = await self.connect()
+        began_s = anyio.current_time()
+        caller.writer.write(data)
+        self.got = await caller.rest()
+        self.took_s = anyio.current_time() - began_s
+
+    async def _play(self, moves: Callable[['ForwardHttp'], Awaitable[None]]) -> None:
+        settings = CallersSettings()
+        with anyio.fail_after(GUARD_S):
+            async with anyio.create_task_group() as group:
+                self.address = await group.start(
+                    serve_http, self.app, '127.0.0.1:0', settings, self._known, self.closed
+                )
+                await moves(self)
+                self.closed.set()
+
+
+async def leave(subject: ForwardHttp) -> None:
+    """Close the connection while the answer is waited for."""
+    caller = await subject.connect()
+    caller.writer.write(b'GET /left HTTP/1.1\r\nhost: a\r\n\r\n')
+    while not subject.app.asked:
+        await anyio.sleep(0)
+    caller.writer.close()
+    await subject.app.left.wait()
+
+
+async def stop(subject: ForwardHttp) -> None:
+    """Stop while one connection is idle and one has an answer under way."""
+    idle = await subject.connect()
+    idle.writer.write(b'GET /idle HTTP/1.1\r\nhost: a\r\n\r\n')
+    await idle.reader.readuntil(END)
+    busy = await subject.connect()
+    busy.writer.write(b'GET /held HTTP/1.1\r\nhost: a\r\n\r\n')
+    await busy.reader.readuntil(b'/held')
+    subject.closed.set()
+    assert not await idle.rest()
+    subject.app.held.set()
+    subject.got = await busy.rest()
--- a/packages/daemon/src/endivesaddle/daemon/forward_http.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_http.py
@@ -1,42 +1,125 @@
-"""The HTTP listeners of a forwarding router, under the limits that are declared."""
+"""The HTTP listeners of a forwarding router, under the limits that are declared.
 
+``uvicorn`` with ``httptools`` serves here instead of ``hypercorn``, whose parser is Python: of
+the 0.165 ms that an event of a stream then took a router, hypercorn had more than half
+(``tools/bench forward``).  Only uvicorn's protocol is used; its server would take signals.
+"""
+
+import asyncio
+import logging
 from typing import Any
 
 import anyio
-from hypercorn.asyncio import serve as serve_asgi
-from hypercorn.config import Config
+from anyio.abc import TaskStatus
+from uvicorn.config import Config
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+from uvicorn.server import ServerState
 
 from endivesaddle.callers.server import listen
 from endivesaddle.callers.settings import CallersSettings
+from endivesaddle.fleet.routes.declared import RequestLimits
 from endivesaddle.fleet.routes.known import Known
 
 SETTLED_S = 0.5
 """Connections that are still open at the end of a stop are closed within this."""
-IDLE_REQUESTS = 1_000_000
-"""Connections of callers are kept however many requests they carry."""
+LOOK_S = 0.02
 _MS = 1000
+_CODING = b'transfer-encoding'
+_TOO_LONG = b'%scontent-length: 0\r\nconnection: close\r\n\r\n' % STATUS_LINE[431]
+
+# What it would tell is told by numbered events: a stream that breaks off on purpose is an error to
+# it, and each line of a caller's bad bytes would be one here.
+logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
+
+
+class BoundedHttp(HttpToolsProtocol):
+    """One connection of a caller, within the limits that were declared when it was opened."""
+
+    def __init__(self, limits: RequestLimits, **parts: Any) -> None:
+        """Serve as uvicorn does; ``limits`` bound heads and silence."""
+        super().__init__(**parts)
+        self.timeout_keep_alive = limits.idle_ms / _MS
+        self._most_bytes = limits.header_bytes
+        self._head_bytes = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Close a connection on which nothing is sent, too: it would keep its descriptor."""
+        super().connection_made(transport)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def on_message_begin(self) -> None:
+        """Count the bytes of each head anew."""
+        super().on_message_begin()
+        self._head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._count(url)
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._count(name, value)
+        if name.lower() == _CODING and value.strip().lower() != b'chunked':
+            # The parser takes such a body for none, and what follows for the next request.
+            raise ValueError('the coding of the body is not known')
+        super().on_header(name, value)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what can't be read, or a head over its limit: the parser itself has none."""
+        if self._head_bytes > self._most_bytes:
+            self.transport.write(_TOO_LONG)
+            self.transport.close()
+        else:
+            super().send_400_response(msg)
+
+    def _count(self, *parts: bytes) -> None:
+        self._head_bytes += sum(map(len, parts))
+        if self._head_bytes > self._most_bytes:
+            # The parser ends with an error of its own, which is answered above.
+            raise ValueError('the head is over its limit')
 
 
 async def serve_http(
-    app: Any, address: str, settings: CallersSettings, known: Known, closed: anyio.Event
+    app: Any,
+    address: str,
+    settings: CallersSettings,
+    known: Known,
+    closed: anyio.Event,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve ``app`` at "ip:port" until ``closed`` is set."""
+    """Serve ``app`` at "ip:port" until ``closed`` is set; report the address that is bound."""
     listener = listen(address, settings)
-    config = Config()
-    config.bind = [f'fd://{listener.detach()}']
-    config.errorlog = None
-    config.include_server_header = False
-    config.include_date_header = False
-    config.keep_alive_max_requests = IDLE_REQUESTS
-    config.graceful_timeout = SETTLED_S
-
-    def limit() -> None:
-        """Apply the declared limits; a connection that is open keeps its bound on headers."""
-        if known.book is not None:
-            limits = known.book.declared.limits
-            config.h11_max_incomplete_size = limits.header_bytes
-            config.keep_alive_timeout = limits.idle_ms / _MS
-
-    limit()
-    known.listeners.append(limit)
-    await serve_asgi(app, config, shutdown_trigger=closed.wait)
+    host, port = listener.getsockname()[:2]
+    config = Config(
+        app, lifespan='off', log_config=None, access_log=False, proxy_headers=False, ws='none'
+    )
+    config.load()
+    state = ServerState()
+
+    def opened() -> BoundedHttp:
+        limits = known.book.declared.limits if known.book else RequestLimits()
+        return BoundedHttp(limits, config=config, server_state=state, app_state={})
+
+    server = await asyncio.get_running_loop().create_server(opened, sock=listener)
+    task_status.started(f'{host}:{port}')
+    try:
+        await closed.wait()
+    finally:
+        server.close()
+        with anyio.CancelScope(shield=True):
+            await _settle(state)
+
+
+async def _settle(state: ServerState) -> None:
+    """Close idle connections at once, the others when they have their answers."""
+    for connection in list(state.connections):
+        connection.shutdown()
+    with anyio.move_on_after(SETTLED_S):
+        while state.connections:
+            await anyio.sleep(LOOK_S)
+    for left in list(state.connections):
+        left.transport.abort()
