Look at each event once, and at all engines once for a short prompt

Cause: two passes over all servers for each prompt, also those too short to ask anywhere; sums over requests at each look; each event's number read twice.

--- a/packages/callers/src/endivesaddle/callers/exchange.py
+++ b/packages/callers/src/endivesaddle/callers/exchange.py
@@ -4,6 +4,7 @@
 caller slows its own answer down and nothing piles up here.
 """
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping
 from http import HTTPStatus
@@ -44,6 +45,7 @@
     ) -> None:
         """Take the three ASGI arguments and the time of arrival."""
         self.began_unix_s = began_unix_s
+        self._loop = asyncio.get_running_loop()
         self._receive = receive
         self._send = send
         self._settings = settings
@@ -98,7 +100,7 @@
         while not self.stalled:
             with anyio.move_on_after(self._settings.send_within_s):
                 return await self._disconnected()
-            sending_s = anyio.current_time() - self._sending_since_s
+            sending_s = self._loop.time() - self._sending_since_s
             self.stalled = sending_s >= self._settings.send_within_s
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -142,7 +144,7 @@
             kind = (await self._receive())['type']
 
     async def _put(self, message: Message) -> None:
-        self._sending_since_s = anyio.current_time()
+        self._sending_since_s = self._loop.time()
         await self._send(message)
         self._sending_since_s = math.inf
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/progress.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/progress.py
@@ -3,6 +3,7 @@
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 
 _NUMBER = b'id:'
+_LATER_NUMBER = b'\nid:'
 
 
 class Progress:
@@ -30,15 +31,13 @@
         self.runs -= 1
 
     def fresh(self, event: bytes) -> bool:
-        """Tell whether the caller lacks an event: a new run may repeat some."""
+        """Note an event and tell whether the caller lacks it: a new run may repeat some."""
         number = event_number(event)
-        return number < 0 or number > self.last_event
-
-    def passed(self, event: bytes) -> None:
-        """Note that an event goes to the caller."""
-        self.started = True
+        if 0 <= number <= self.last_event:
+            return False
         self.events += 1
-        self.last_event = max(self.last_event, event_number(event))
+        self.last_event = max(self.last_event, number)
+        return True
 
     @property
     def spent_tokens(self) -> int:
@@ -51,8 +50,9 @@
 
 def event_number(event: bytes) -> int:
     """Return the number of a server-sent event, -1 where it has none."""
-    for line in event.splitlines():
-        if line.startswith(_NUMBER):
-            digits = line[len(_NUMBER) :].strip()
-            return int(digits) if digits.isdigit() else -1
-    return -1
+    # Mostly its first line: found so, it costs a third of looking at each line.
+    start = 0 if event.startswith(_NUMBER) else event.find(_LATER_NUMBER) + 1
+    if not start and not event.startswith(_NUMBER):
+        return -1
+    digits = event[start + len(_NUMBER) : event.find(b'\n', start)].strip()
+    return int(digits) if digits.isdigit() else -1
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -216,14 +216,13 @@
 
     async def _stream(self, place: Place, answer: ServerAnswer) -> Outcome:
         async for event in answer.events():
-            fresh = self._progress.fresh(event)
             place.began()
-            if not fresh:
+            if not self._progress.fresh(event):
                 continue
             if not self._progress.started:
                 self._first_unix_s = self._runner.clock.now_s()
+                self._progress.started = True
                 await self._sink.start(answer.status, answer.headers)
-            self._progress.passed(event)
             await self._sink.write(event)
         if not self._progress.started:
             await self._sink.start(answer.status, answer.headers)
--- a/packages/fleet/src/endivesaddle/fleet/routing/choosing.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/choosing.py
@@ -46,8 +46,10 @@
     """
     for asks_left in reversed(range(ASKS)):
         lane = policy(setting)
-        most_tokens = tolerated_tokens(setting, lane) if asks_left else ANY_TOKENS
         unread = lane.unread(setting.want, setting.now_unix_s)
-        if unread < ASKED_TOKENS or await desks.ask(lane, unread, most_tokens):
+        if unread < ASKED_TOKENS:
+            break
+        most_tokens = tolerated_tokens(setting, lane) if asks_left else ANY_TOKENS
+        if await desks.ask(lane, unread, most_tokens):
             break
     return lane
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -52,7 +52,10 @@
     """One server as this router met it."""
 
     def __init__(self, server: RouteServer) -> None:
-        """Start with nothing sent."""
+        """Start with nothing sent.
+
+        ``own_reading_tokens`` are those that this router sent and that are not known to be read.
+        """
         self.server = server
         self.reading: dict[str, int] = {}
         self.running: dict[str, int] = {}
@@ -63,6 +66,7 @@
         self.heard_unix_s = 0.0
         self.silent_until_unix_s = 0.0
         self._silences = 0
+        self.own_reading_tokens = 0
         self._parts: OrderedDict[str, float] = OrderedDict()
         self._failed_share = 0.0
         self._failed_unix_s = 0.0
@@ -72,11 +76,6 @@
         """Requests of this router."""
         return len(self.reading) + len(self.running)
 
-    @property
-    def own_reading_tokens(self) -> int:
-        """Prompt tokens that this router sent and that are not known to be read."""
-        return sum(self.reading.values())
-
     @property
     def in_flight(self) -> int:
         """Requests of this router and, as last told, of the others."""
@@ -110,7 +109,9 @@
 
     def sent(self, want: ForwardWant, now_unix_s: float) -> None:
         """Note that a request goes there now."""
+        self._read(want)
         self.reading[want.key] = self.unread(want, now_unix_s)
+        self.own_reading_tokens += self.reading[want.key]
         self.hold([part for part, _ in want.parts], now_unix_s)
 
     def hold(self, parts: Iterable[str], now_unix_s: float) -> None:
@@ -123,12 +124,12 @@
 
     def began(self, want: ForwardWant) -> None:
         """Note the first event of an answer: its prompt is read."""
-        if self.reading.pop(want.key, None) is not None:
+        if self._read(want):
             self.running[want.key] = want.prompt_tokens
 
     def ended(self, want: ForwardWant) -> None:
         """Note that nothing of a request is under way there any more."""
-        self.reading.pop(want.key, None)
+        self._read(want)
         self.running.pop(want.key, None)
 
     def fared(self, well: bool, now_unix_s: float) -> None:
@@ -150,10 +151,18 @@
 
     def failed_share(self, now_unix_s: float) -> float:
         """Return the share of failures, old ones forgiven by halves."""
+        if not self._failed_share:
+            return 0.0
         passed_s = max(0.0, now_unix_s - self._failed_unix_s)
         share = self._failed_share * 0.5 ** (passed_s / FORGIVEN_S)
         return 0.0 if share < FORGOTTEN_SHARE else share
 
+    def _read(self, want: ForwardWant) -> bool:
+        """Take a prompt off those that are being read; True if it was one of them."""
+        tokens = self.reading.pop(want.key, None)
+        self.own_reading_tokens -= tokens or 0
+        return tokens is not None
+
 
 class Lanes:
     """The lanes of all known servers."""
