--- a/packages/callers/src/endivesaddle/callers/app.py
+++ b/packages/callers/src/endivesaddle/callers/app.py
@@ -21,6 +21,8 @@
 from endivesaddle.fleet.seams import Front
 from endivesaddle.fleet.sentinels import RUN_UNKNOWN, Refusal
 
+__all__ = ('CallersApp', 'CallersSettings')
+
 HANDLERS = (operating, serving)
 """The modules whose import fills the registry of routes."""
 
--- a/packages/daemon/src/endivesaddle/daemon/router.py
+++ b/packages/daemon/src/endivesaddle/daemon/router.py
@@ -6,8 +6,7 @@
 import anyio
 import cappa
 
-from endivesaddle.callers.app import CallersApp
-from endivesaddle.callers.settings import CallersSettings
+from endivesaddle.callers.app import CallersApp, CallersSettings
 from endivesaddle.daemon.local_peers import LocalPeers
 from endivesaddle.daemon.node import Part, Ports, State, run_all
 from endivesaddle.daemon.readiness import Readiness
--- a/packages/daemon/src/endivesaddle/daemon/sidecar.py
+++ b/packages/daemon/src/endivesaddle/daemon/sidecar.py
@@ -8,8 +8,7 @@
 import cappa
 
 from endivesaddle.backend_servers.settings import BackendSettings
-from endivesaddle.callers.app import CallersApp
-from endivesaddle.callers.settings import CallersSettings
+from endivesaddle.callers.app import CallersApp, CallersSettings
 from endivesaddle.daemon import events
 from endivesaddle.daemon.node import Ports, State, run_all
 from endivesaddle.daemon.settings import InstanceSettings, LogSettings, ServerSettings
