--- a/features/forward_http.feature
+++ b/features/forward_http.feature
@@ -28,6 +28,19 @@
       | Transfer-Encoding: xchunked                          |
       | Transfer-Encoding: chunked, identity                 |
 
+  Scenario: Bytes behind a request don't spoil its answer
+    They are no request.  Refused at once, the refusal would stand in the middle of the answer under
+    way, or in its place though the request ran.
+    When a caller sends: GET /a HTTP/1.1\r\nHost: a\r\n\r\n\x00what is this
+    Then the application was asked: GET /a
+    And the caller got the status 200
+    And the caller got 1 whole answers
+
+  Scenario: A body that can't be read is refused at once
+    When a caller sends: POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nwhat is this
+    Then the application was asked nothing
+    And the caller got the status 400
+
   Scenario: A head that is longer than the limit is refused
     When a caller sends a head of 4000 bytes
     Then the application was asked nothing
--- a/features/subjects/forward_http.py
+++ b/features/subjects/forward_http.py
@@ -40,6 +40,8 @@
         if scope['query_string']:
             target = b'%s?%s' % (target, scope['query_string'])
         body = await _body(receive)
+        if body is None:
+            return
         self.asked.append(f'{scope["method"]} {target.decode()} {body.decode()}')
         if target == b'/left':
             assert (await receive())['type'] == 'http.disconnect'
@@ -54,10 +56,13 @@
         await send({'type': 'http.response.body', 'body': b'.', 'more_body': False})
 
 
-async def _body(receive: Callable[[], Awaitable[Message]]) -> bytes:
+async def _body(receive: Callable[[], Awaitable[Message]]) -> bytes | None:
+    """Return the body; None where the caller left before it was whole."""
     parts = b''
     while True:
         message = await receive()
+        if message['type'] == 'http.disconnect':
+            return None
         parts += message.get('body', b'')
         if not message.get('more_body'):
             return parts
--- a/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
@@ -77,7 +77,7 @@
     def send(self, request: bytes, bodiless: bool) -> 'ServerResponse':
         """Send the bytes of a request; its answer is read by what is returned."""
         if self._transport is None:
-            raise ServerLost('the connection closed')
+            raise NeverSent('the connection closed')
         self._answer = ServerResponse(self._transport, AnswerParser(bodiless))
         self._transport.write(request)
         return self._answer
--- a/packages/daemon/src/endivesaddle/daemon/forward_http.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_http.py
@@ -70,7 +70,11 @@
 
     def send_400_response(self, msg: str) -> None:
         """Refuse what can't be read, or a head over its limit: the parser itself has none."""
-        if self._head_bytes > self._most_bytes:
+        under_way = self.cycle is not None and not self.cycle.response_complete
+        if under_way and not self.cycle.more_body:
+            # The request before is whole: what follows ends the connection after its answer.
+            self.cycle.keep_alive = False
+        elif self._head_bytes > self._most_bytes:
             self.transport.write(_TOO_LONG)
             self.transport.close()
         else:
