--- a/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
@@ -13,7 +13,7 @@
 import anyio
 
 from endivesaddle.backend_servers.answer_parser import AnswerParser
-from endivesaddle.fleet.seams import NeverSent, ServerLost
+from endivesaddle.fleet.seams import NeverSent, ServerLost, ServerRefused
 
 CONNECT_S = 1.0
 """A connection that takes longer counts as refused: neighbours answer in milliseconds."""
@@ -181,12 +181,14 @@
 
 
 async def connect(address: str, within_s: float = CONNECT_S) -> ServerConnection:
-    """Connect to "ip:port"; raises ``NeverSent``."""
+    """Connect to "ip:port"; raises ``NeverSent``, ``ServerRefused`` where nobody listens."""
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     try:
         with anyio.fail_after(within_s):
             _, connection = await loop.create_connection(ServerConnection, host, int(port))
+    except ConnectionRefusedError as error:
+        raise ServerRefused(f'{address} refuses connections') from error
     except OSError as error:
         raise NeverSent(f'{type(error).__name__} {error}'.strip()) from error
     return connection
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -1,5 +1,6 @@
 """A request on a route, as the decisions see it, and the ports that carry it."""
 
+import hashlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import NamedTuple, Protocol
@@ -8,6 +9,7 @@
 from endivesaddle.fleet.routing.lanes import ForwardWant
 from endivesaddle.fleet.sentinels import Refusal
 
+DIGEST_BYTES = 16
 URGENCIES = 9
 """The least urgent rank that a server knows."""
 
@@ -50,6 +52,19 @@
             rank = account.priority
         return max(0, min(URGENCIES, rank))
 
+    def digest(self) -> str:
+        """Return what tells this request from others, the same for each attempt of a caller.
+
+        Whoever sends it again has the same account, host, method, target and body, and another id.
+        A cryptographic hash, so that nobody can make a request that is taken for another's.
+        """
+        account = self.account.name if self.account else ''
+        state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (account, self.route.host, self.method, self.target):
+            state.update(f'{len(part)}:{part}'.encode())
+        state.update(self.body)
+        return state.hexdigest()
+
     def want(self, service: str) -> ForwardWant:
         """Return what it asks of a server of a service."""
         return ForwardWant(
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -193,6 +193,8 @@
             server=place.lane.server.lifetime,
             outcome=outcome.value,
             events=self._progress.events,
+            # Tells which attempts are the same request: each has an id of its own.
+            digest=self.request.digest() if outcome is Outcome.LOST else '',
             reason=reason,
         )
         return outcome
--- a/packages/fleet/src/endivesaddle/fleet/seams.py
+++ b/packages/fleet/src/endivesaddle/fleet/seams.py
@@ -215,5 +215,9 @@
     """The backend server began to leave before the request was on its way."""
 
 
+class ServerRefused(NeverSent):
+    """Nobody listens at the backend server's address: its process has ended."""
+
+
 class ServerLost(Exception):
     """The backend server broke off or fell silent: it may have run the request."""
