Reproduce a request that ends the servers that run it, failing

It is sent on to server after server by all routers: nothing of it is kept beyond its end. Three scenarios beside it hold already and have to go on holding: what ran beside such a request, what lost its connection alone, and another account's equal request.

--- /dev/null
+++ b/features/crashing_requests.feature
@@ -0,0 +1,75 @@
+Feature: A request that ends the servers that run it
+  The process of a server ends when it begins to run one certain request, and all others there are
+  lost with it.  The server is back after some seconds; the request comes again with the same
+  account, path and body, under a new id, at any router.
+
+  Scenario Outline: It goes to no more servers once it has ended three
+    Nobody remembered a request beyond its end.  Each attempt had another id, so that nothing told
+    that it was the same; a broken run counted against its server alone.  In logs of such a day one
+    request ended nine engines in 13 s, and the 13 others at the last of them were lost with it:
+    "forward_sending_failed server=i-ede7ad9427 outcome=lost reason=the connection closed".
+    Given <routers> routers and <servers> servers that may be ended by a request
+    When the routers find the store <store>
+    And the request comes <times> times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 3 seconds after the third end
+    And the last <refused> of them are told that they did not run, and when to come back
+
+    Examples:
+      | routers | servers | store | times | refused |
+      | 3       | 6       | well  | 30    | 15      |
+      | 3       | 20      | away  | 20    | 5       |
+      | 1       | 6       | well  | 30    | 15      |
+
+  Scenario: It goes to no more servers where routers leave their words on a board
+    With many routers each talks to a sidecar instead of to each other.
+    Given 10 routers with 3 sidecars and 8 servers that may be ended by a request
+    When the request comes 40 times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 3 seconds after the third end
+    And the last 15 of them are told that they did not run, and when to come back
+
+  Scenario: A router that starts again is told by the others
+    What a router knew is gone with its process, and what was written into the store has lapsed.
+    Given 3 routers and 20 servers that may be ended by a request
+    When the request comes 10 times, each 0.4 seconds at the next router
+    And what was written of it into the store has lapsed
+    And router 0 starts again
+    And 3 seconds go by at the routers
+    And the request comes 3 times at router 0
+    Then at most 3 of them reach a server later than 3 seconds after the third end
+    And the last 3 of them are told that they did not run, and when to come back
+    And the harmless request is answered
+
+  Scenario: Routers that all start again read it in the store
+    All processes are killed at once, so that nobody is left who could tell.
+    Given 3 routers and 6 servers that may be ended by a request
+    When the request comes 10 times, each 0.4 seconds at the next router
+    And all routers start again
+    And 3 seconds go by at the routers
+    And the request comes 9 times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 3 seconds after the third end
+    And the last 9 of them are told that they did not run, and when to come back
+
+  Scenario: A request that may be repeated ends no more servers than others
+    A router sends it on to the next server as soon as one is lost.
+    Given 3 routers and 9 servers that may be ended by a request
+    When it may be repeated on 3 servers
+    And the request comes 30 times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 3 seconds after the third end
+    And the last 15 of them are told that they did not run, and when to come back
+
+  Scenario: What ran beside it is served
+    A request that was lost with three servers, but was answered by others between, did not end them.
+    Given 3 routers and 6 servers that may be ended by a request
+    When a harmless request runs at a server that ends, and is then answered, 5 times
+    Then the harmless request is answered
+
+  Scenario: A request whose connections break is served
+    The servers go on: it was the connections that broke, or the answers were lost.
+    Given 3 routers and 6 servers that may be ended by a request
+    When the connections of a harmless request break 8 times
+    Then the harmless request is answered
+
+  Scenario: Another account's equal request is served
+    Given 3 routers and 6 servers that may be ended by a request
+    When the request comes 12 times, each 0.4 seconds at the next router
+    Then an equal request of another account is sent to a server
--- /dev/null
+++ b/features/subjects/crashing_fleet.py
@@ -0,0 +1,292 @@
+"""Subject: routers, and servers whose processes end under one certain request."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+import msgspec
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.board import Board
+from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
+from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerCall
+from endivesaddle.fleet.routes.remote_store import answer_store
+from endivesaddle.fleet.routes.roster import PREFIX as ENTRIES
+from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
+from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.fleet.routes.shared_polls import SharedPolls
+from endivesaddle.fleet.seams import ServerLost, ServerRefused
+from endivesaddle.stand_ins.memory_peers import MemoryNet
+from endivesaddle.stand_ins.memory_store import MemoryStore
+from subjects.cut_router import CutRouter
+from subjects.forward_runs import RecordingSink, ScriptedAnswer
+from subjects.leaving_servers import SERVERS, SERVICE, Entries
+from subjects.links_loop import ScenarioLoop
+
+START_S = 3.0
+RUN_S = 0.05
+DEADLINE_S = 10.0
+LAPSE_S = 1.4
+"""The entry of a server that ended is gone from the store after this."""
+BACK_S = 2.0
+WRITTEN = 'endivesaddle/'
+FATAL = b'fatal'
+HARMLESS = b'harmless'
+OWNER = RouteAccount('ateliers', (), None, None)
+OTHER = RouteAccount('joiners', (), None, None)
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server."""
+
+    at_unix_s: float
+    body: bytes
+    account: str
+
+
+class EndingServers:
+    """Servers by address; the process of one ends as it runs the fatal request."""
+
+    def __init__(self, store: MemoryStore, clock: LoopClock, count: int) -> None:
+        """Start ``count`` of them."""
+        self.arrived: list[Arrival] = []
+        self.ends_unix_s: list[float] = []
+        self.breaking = 0
+        self._store = store
+        self._clock = clock
+        self._lives = itertools.count()
+        self._running: dict[str, asyncio.Event] = {}
+        self._at: dict[str, str] = {}
+        self._tasks: set[asyncio.Future[None]] = set()
+        for number in range(count):
+            self._begin(f'10.0.2.{number}:1')
+
+    @asynccontextmanager
+    async def exchange(self, call: ServerCall) -> AsyncIterator[ScriptedAnswer]:
+        """Run a request, unless the process has ended or ends meanwhile."""
+        await anyio.sleep(0.001)
+        ended = self._life(call.server)
+        request = call.request
+        account = request.account.name if request.account else ''
+        self.arrived.append(Arrival(self._clock.now_s(), request.body, account))
+        if self.breaking:
+            self.breaking -= 1
+            raise ServerLost('the connection closed')
+        with anyio.move_on_after(RUN_S):
+            await ended.wait()
+        if request.body == FATAL:
+            self.end(call.server.lifetime)
+        if ended.is_set():
+            raise ServerLost('the connection closed')
+        yield ScriptedAnswer(call)
+
+    async def check(self, server: RouteServer) -> None:
+        """Connect, as a router does to learn whether a server still listens."""
+        await anyio.sleep(0.001)
+        self._life(server)
+
+    def end(self, lifetime: str) -> None:
+        """End a server's process; it is back after a while under another name."""
+        ended = self._running.pop(lifetime, None)
+        if ended is not None:
+            ended.set()
+            self.ends_unix_s.append(self._clock.now_s())
+            task = asyncio.ensure_future(self._come_back(lifetime))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _life(self, server: RouteServer) -> asyncio.Event:
+        if server.lifetime not in self._running:
+            raise ServerRefused(f'{server.address} refuses connections')
+        return self._running[server.lifetime]
+
+    async def _come_back(self, lifetime: str) -> None:
+        address = self._at.pop(lifetime)
+        await anyio.sleep(LAPSE_S)
+        self._store.remove(f'{SERVERS}{lifetime}')
+        await anyio.sleep(BACK_S - LAPSE_S)
+        self._begin(address)
+
+    def _begin(self, address: str) -> None:
+        lifetime = f'life-{next(self._lives)}'
+        self._running[lifetime] = asyncio.Event()
+        self._at[lifetime] = address
+        server = RouteServer(lifetime, SERVICE, address, 'porto-a', 64)
+        self._store.put(f'{SERVERS}{lifetime}', msgspec.json.encode(server))
+
+
+class CrashingFleet:
+    """Routers that forward to such servers; each call runs on one loop in virtual time."""
+
+    def __init__(self, routers: int, servers: int, sidecars: int = 0) -> None:
+        """Start them, and let them find each other."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._store = MemoryStore(self._clock)
+        self._net = MemoryNet(self._clock)
+        self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
+        self._routers: list[CutRouter] = []
+        self._runners: list[Runner] = []
+        self._lives = itertools.count()
+        self._tasks: list[asyncio.Future[None]] = []
+        self._route = Route(
+            'boards', 'host', '/b/', Repeat.UNSAFE, 4000, 500, 1, (Target(SERVICE, 1),)
+        )
+        self.sinks: list[RecordingSink] = []
+        self._loop.run(self._start, routers, servers)
+
+    @property
+    def servers(self) -> EndingServers:
+        """The servers."""
+        return self._servers
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self._loop.run(anyio.sleep, seconds)
+
+    def lose_store(self) -> None:
+        """Take the store away from all."""
+        self._store.fail(True)
+
+    def lapse(self) -> None:
+        """Remove what routers wrote into the store, but for their own entries."""
+        self._loop.run(self._lapse)
+
+    def repeat(self, attempts: int) -> None:
+        """Let the request be repeated."""
+        self._route = self._route._replace(repeat=Repeat.SAFE, max_attempts=attempts)
+
+    def start_again(self, router: int) -> None:
+        """Kill a router and start its next life at the same address."""
+        self._loop.run(self._start_again, router)
+
+    def start_all_again(self) -> None:
+        """Kill all routers, and then start the next life of each."""
+        self._loop.run(self._start_all_again)
+
+    def come(self, times: int, pause_s: float, first_router: int = 0, step: int = 1) -> None:
+        """Have the fatal request come again and again."""
+        self._loop.run(self._come, times, pause_s, first_router, step)
+
+    def lose_harmless(self) -> None:
+        """Run a harmless request at a server that ends, then once more at one that does not."""
+        self._loop.run(self._lose_harmless)
+
+    def break_connections(self, times: int) -> None:
+        """Have so many connections of a harmless request break, one request at a time."""
+        self._servers.breaking = times
+        for number in range(times):
+            self._loop.run(self._carry, number % len(self._runners), HARMLESS)
+
+    def send(self, body: bytes, account: RouteAccount = OWNER) -> RecordingSink:
+        """Carry one request to its end."""
+        sink: RecordingSink = self._loop.run(self._carry, 0, body, account)
+        return sink
+
+    def late(self, seconds: float) -> list[Arrival]:
+        """Return arrivals of the fatal request so long after it had ended three servers."""
+        third_unix_s = self._servers.ends_unix_s[2]
+        return [
+            one
+            for one in self._servers.arrived
+            if one.body == FATAL and one.at_unix_s > third_unix_s + seconds
+        ]
+
+    async def _start(self, routers: int, servers: int) -> None:
+        self._servers = EndingServers(self._store, self._clock, servers)
+        for number, address in enumerate(self._sidecars):
+            await self._start_sidecar(f's{number}', address)
+        for number in range(routers):
+            self._enter(f'10.0.0.{number}:1')
+        await anyio.sleep(START_S)
+
+    def _enter(self, address: str) -> None:
+        """Start a life of a router."""
+        name = f'router-{next(self._lives)}'
+        router = CutRouter(name, address, self._net, self._store, Entries())
+        router.start(OWNER)
+        runner = Runner(router.dispatcher, router.wallet, self._servers, self._clock)
+        known = [one.address for one in self._routers]
+        if address in known:
+            self._routers[known.index(address)] = router
+            self._runners[known.index(address)] = runner
+        else:
+            self._routers.append(router)
+            self._runners.append(runner)
+
+    async def _start_sidecar(self, name: str, address: str) -> None:
+        polls = SharedPolls(self._store, self._clock)
+        handlers = Handlers()
+        answer_store(handlers, polls, self._clock)
+        Board(self._clock, name).register(handlers)
+        self._net.serve(address, handlers)
+        self._tasks.append(asyncio.ensure_future(polls.run()))
+        own = Instance(SIDECAR, name, address, 'porto-a')
+        await Entry(self._store, self._clock, own, lease_s=90).keep()
+
+    async def _lapse(self) -> None:
+        for stored in await self._store.list(WRITTEN, self._clock.now_s() + 1):
+            if not stored.key.startswith(ENTRIES):
+                self._store.remove(stored.key)
+
+    async def _start_again(self, number: int) -> None:
+        self._routers[number].kill()
+        await anyio.sleep(1)
+        self._enter(self._routers[number].address)
+
+    async def _start_all_again(self) -> None:
+        for router in self._routers:
+            router.kill()
+        await anyio.sleep(1)
+        for router in list(self._routers):
+            self._enter(router.address)
+
+    async def _come(self, times: int, pause_s: float, first_router: int, step: int) -> None:
+        for number in range(times):
+            router = (first_router + number * step) % len(self._runners)
+            self.sinks.append(await self._carry(router, FATAL))
+            await anyio.sleep(pause_s)
+
+    async def _lose_harmless(self) -> None:
+        lost = asyncio.ensure_future(self._carry(0, HARMLESS))
+        await anyio.sleep(RUN_S / 2)
+        for lane in self._routers[0].dispatcher.lanes.all():
+            if lane.own_in_flight:
+                self._servers.end(lane.server.lifetime)
+        assert (await lost).status == 502
+        assert (await self._carry(0, HARMLESS)).status == 200
+        await anyio.sleep(START_S)
+
+    async def _carry(
+        self, router: int, body: bytes, account: RouteAccount = OWNER
+    ) -> RecordingSink:
+        sink = RecordingSink()
+        await self._runners[router].serve(self._made(body, account), sink)
+        return sink
+
+    def _made(self, body: bytes, account: RouteAccount) -> ForwardRequest:
+        now_unix_s = self._clock.now_s()
+        return ForwardRequest(
+            request_id=f'attempt-{next(self._lives)}',
+            route=self._route,
+            account=account,
+            method='POST',
+            target='/b/x',
+            headers=(('host', 'host'),),
+            body=body,
+            deadline_unix_s=now_unix_s + DEADLINE_S,
+            end_unix_s=now_unix_s + self._route.timeout_ms / 1000,
+            prompt_tokens=0,
+            max_tokens=0,
+            parts=(),
+            last_event=-1,
+            began_unix_s=now_unix_s,
+        )
