Hold back a request that ended three servers, at all routers

Callers saw streams cut, again and again: one request ended each server that began to run it, and all that ran beside it was lost, 13 requests at the last of nine servers. Cause: nothing was kept of a request beyond its end. Attempts have new ids, a broken run counted against the server alone, and routers told each other of loads and parts of prompts only.

Now a run that breaks is looked at: where its server's process has ended (nobody listens, or the entry is gone), its life is noted under a digest of account, host, method, target and body. Three lives without an answer between hold the request back. Records are joined by union, so that lost and late words do no harm; routers tell each other, boards keep them for those that start, and the store for a fleet that starts anew. What ran beside it is cleared by its next answer; a connection that broke while its server listens on counts for nothing.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -33,7 +33,7 @@
     When the request comes 10 times, each 0.4 seconds at the next router
     And what was written of it into the store has lapsed
     And router 0 starts again
-    And 3 seconds go by at the routers
+    And 3 seconds go by in the fleet
     And the request comes 3 times at router 0
     Then at most 3 of them reach a server later than 3 seconds after the third end
     And the last 3 of them are told that they did not run, and when to come back
@@ -44,7 +44,7 @@
     Given 3 routers and 6 servers that may be ended by a request
     When the request comes 10 times, each 0.4 seconds at the next router
     And all routers start again
-    And 3 seconds go by at the routers
+    And 3 seconds go by in the fleet
     And the request comes 9 times, each 0.4 seconds at the next router
     Then at most 3 of them reach a server later than 3 seconds after the third end
     And the last 9 of them are told that they did not run, and when to come back
@@ -73,3 +73,30 @@
     Given 3 routers and 6 servers that may be ended by a request
     When the request comes 12 times, each 0.4 seconds at the next router
     Then an equal request of another account is sent to a server
+
+  Scenario: A server that falls silent is found by its entry
+    Its machine is gone, too: nothing refuses a connection, and only the store tells, after a while.
+    Given 3 routers and 6 servers that may be ended by a request
+    When the machines of servers that end fall silent
+    And the request comes 30 times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 6 seconds after the third end
+    And the last 9 of them are told that they did not run, and when to come back
+
+  Scenario: A request that is held back is tried once more after a while
+    Servers may have been mended meanwhile. One more end holds it back for twice as long.
+    Given records of a request that ended 3 servers, which hold it for 600 seconds
+    When 601 seconds pass for the records
+    Then the request may run
+    When another server ends under it
+    Then it is held back for 1200 seconds
+
+  Scenario: Records are joined in any order, and an answer counts for what ended before it
+    Given records of a request that ended 3 servers, which hold it for 600 seconds
+    When other records hear of it twice, and that it was answered
+    Then neither holds it back, whatever they tell each other again
+
+  Scenario: Records of many requests yield to those of few
+    All that ran at a large server when it ended has a record.
+    Given records of a request that ended 3 servers, which hold it for 600 seconds
+    When 2000 other requests are lost with a server each
+    Then it is still held back, and at most 256 records are kept
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from subjects.crashing_fleet import FATAL, HARMLESS, OTHER, CrashingFleet
+from subjects.held_request import HeldRequest
 
 LONGEST_AGAIN_S = 3600
 
@@ -33,7 +34,7 @@
         context.fleet.lose_store()
 
 
-@when('{seconds:g} seconds go by at the routers')
+@when('{seconds:g} seconds go by in the fleet')
 def wait(context: Any, seconds: float) -> None:
     """Let time pass."""
     context.fleet.sleep(seconds)
@@ -116,3 +117,68 @@
     """Send it, and look at what arrived."""
     context.fleet.send(FATAL, OTHER)
     assert context.fleet.servers.arrived[-1].account == OTHER.name
+
+
+@when('the machines of servers that end fall silent')
+def silent(context: Any) -> None:
+    """Let connections to them hang."""
+    context.fleet.servers.silent = True
+
+
+@given('records of a request that ended {ends:d} servers, which hold it for {seconds:d} seconds')
+def records(context: Any, ends: int, seconds: int) -> None:
+    """Note the ends."""
+    context.play = HeldRequest(ends)
+    assert context.play.held_s() == seconds
+
+
+@when('{seconds:d} seconds pass for the records')
+def later(context: Any, seconds: int) -> None:
+    """Let time pass."""
+    context.play.now_unix_s += seconds
+
+
+@then('the request may run')
+def free(context: Any) -> None:
+    """Look whether it is held back."""
+    assert not context.play.held_s()
+
+
+@when('another server ends under it')
+def another(context: Any) -> None:
+    """Note it."""
+    context.play.end()
+
+
+@then('it is held back for {seconds:d} seconds')
+def held(context: Any, seconds: int) -> None:
+    """Look for how long."""
+    assert context.play.held_s() == seconds
+
+
+@when('other records hear of it twice, and that it was answered')
+def hear(context: Any) -> None:
+    """Tell them."""
+    context.play.answer_elsewhere()
+
+
+@then('neither holds it back, whatever they tell each other again')
+def neither(context: Any) -> None:
+    """Tell old words once more, both ways."""
+    context.play.tell_all_again()
+    assert not context.play.held_s()
+    assert not context.play.held_elsewhere_s()
+
+
+@when('{count:d} other requests are lost with a server each')
+def crowd(context: Any, count: int) -> None:
+    """Note them."""
+    for number in range(count):
+        context.play.end(f'other-{number}')
+
+
+@then('it is still held back, and at most {most:d} records are kept')
+def kept(context: Any, most: int) -> None:
+    """Count them."""
+    assert context.play.held_s()
+    assert len(context.play.records) <= most
--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -56,6 +56,7 @@
         self.arrived: list[Arrival] = []
         self.ends_unix_s: list[float] = []
         self.breaking = 0
+        self.silent = False
         self._store = store
         self._clock = clock
         self._lives = itertools.count()
@@ -87,6 +88,8 @@
     async def check(self, server: RouteServer) -> None:
         """Connect, as a router does to learn whether a server still listens."""
         await anyio.sleep(0.001)
+        if self.silent and server.lifetime not in self._running:
+            await anyio.sleep_forever()
         self._life(server)
 
     def end(self, lifetime: str) -> None:
--- a/features/subjects/cut_router.py
+++ b/features/subjects/cut_router.py
@@ -17,6 +17,7 @@
 from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
 from endivesaddle.fleet.routes.remote_store import answer_store
 from endivesaddle.fleet.routes.roster import ROUTER, Instance, Roster
+from endivesaddle.fleet.routes.stored_crashes import StoredCrashes
 from endivesaddle.fleet.routes.wallet import Wallet, WalletParts
 from endivesaddle.fleet.routes.ways import ReachedStore
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
@@ -111,6 +112,7 @@
             address,
         )
         self._follower = Follower(self.way, decoder, self.known, clock, self.contact)
+        self._crashes = StoredCrashes(self.way, self.dispatcher.crashes, clock)
         self._net = net
         self._clock = clock
         self._tasks: list[asyncio.Future[None]] = []
@@ -125,7 +127,8 @@
         answer_store(handlers, self.cut, self._clock)
         self._net.serve(self.address, handlers)
         parts = (self.way, self.roster, self.keeper, self.wallet, self._neighbours)
-        self._tasks = [asyncio.ensure_future(part.run()) for part in (*parts, self._follower)]
+        tasks = (*parts, self._follower, self._crashes)
+        self._tasks = [asyncio.ensure_future(part.run()) for part in tasks]
         self._tasks.append(asyncio.ensure_future(self._tend()))
 
     def kill(self) -> None:
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -183,6 +183,9 @@
             await anyio.sleep_forever()
         yield BEHAVIOURS[name](call)
 
+    async def check(self, server: RouteServer) -> None:
+        """Connect: all servers go on."""
+
 
 class RecordingSink:
     """What the caller gets."""
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -7,6 +7,7 @@
 from endivesaddle.backend_servers.server_connection import ServerResponse
 from endivesaddle.backend_servers.sse import EventSplitter, EventTooLong
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.dialect import HOP_BY_HOP, LENGTH, Dialect
 from endivesaddle.fleet.routes.forwarded import Pairs, ServerCall
 from endivesaddle.fleet.seams import ServerLost
@@ -82,6 +83,13 @@
         async with self.links.exchange(server.lifetime, server.address, sent) as response:
             yield KeptAnswer(response, call, self._dialect)
 
+    async def check(self, server: RouteServer) -> None:
+        """Connect to a server; the connection is kept for the next request.
+
+        Raises ``ServerRefused`` where nobody listens, ``NeverSent`` where that can't be told.
+        """
+        await self.links.check(server.lifetime, server.address)
+
     def _headers(self, call: ServerCall) -> list[tuple[bytes, bytes]]:
         names = self._dialect
         request = call.request
--- a/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
@@ -85,6 +85,10 @@
         finally:
             self._returned(lifetime, connection)
 
+    async def check(self, lifetime: str, address: str) -> None:
+        """Connect, and keep the connection; raises ``NeverSent``, also as ``ServerRefused``."""
+        self._returned(lifetime, await self._connected(address))
+
     def drop(self, lifetime: str) -> None:
         """Close the idle connections to a server that is gone."""
         for connection in self._idle.pop(lifetime, []):
@@ -102,6 +106,9 @@
             if connection.idle_until_s > now_s and connection.idle():
                 return connection
             connection.abort()
+        return await self._connected(address)
+
+    async def _connected(self, address: str) -> ServerConnection:
         self.opened_count += 1
         return await self._connect(address)
 
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -26,6 +26,7 @@
 from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
 from endivesaddle.fleet.routes.remote_store import answer_store
 from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.fleet.routes.stored_crashes import StoredCrashes
 from endivesaddle.instances import GrpcPeers
 from endivesaddle.instances import serve as serve_calls
 
@@ -69,6 +70,7 @@
         self._stopping = Stopping(self.neighbours.others_stay)
         parts = self.parts
         self._follower = Follower(parts.store, ports.decoder, parts.known, clock, parts.contact)
+        self._crashes = StoredCrashes(parts.store, parts.dispatcher.crashes, clock)
         self._metrics = ForwardMetrics(self.state)
         parts.store.observer = self._metrics.store_called
         runner = Runner(parts.dispatcher, parts.wallet, self.links, clock)
@@ -111,6 +113,7 @@
             'shares': parts.wallet.dump(),
             'grants': parts.keeper.dump(),
             'servers': parts.dispatcher.dump(),
+            'crashes': parts.dispatcher.crashes.dump(self._clock.now_s()),
             'counters': {
                 'forward_open': self._app.open_count,
                 'connections_opened': self.links.links.opened_count,
@@ -121,6 +124,7 @@
                 'servers_heard_age_seconds': parts.dispatcher.servers_heard_s(),
                 'late_seconds': self._lateness.worst_s(),
                 'sidecars_known': len(parts.roster.sidecars),
+                'crash_records': len(parts.dispatcher.crashes),
                 'routers_known': len(parts.roster.others) + 1,
                 **parts.dispatcher.counts,
             },
@@ -135,6 +139,7 @@
             self.parts.keeper.run,
             self.parts.wallet.run,
             self._desks.run,
+            self._crashes.run,
             self._lateness.run,
             self._tend,
         ]
--- a/packages/fleet/src/endivesaddle/fleet/routes/board.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/board.py
@@ -9,6 +9,9 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes import crash_words
+from endivesaddle.fleet.routing.crash_records import CrashRecords
+from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.wire import rpcs
 from endivesaddle.wire.routers_pb2 import BoardReply, BoardRequest, Word
 
@@ -33,6 +36,8 @@
         self._lifetime = lifetime
         self._number = 0
         self._left: deque[_Left] = deque()
+        # Kept as long as a router keeps them: those that start again are told all.
+        self._crashes = CrashRecords(ForwardSettings())
 
     def register(self, handlers: Handlers) -> None:
         """Answer the routers' calls."""
@@ -47,13 +52,28 @@
         while self._left and self._left[0].until_unix_s <= now_unix_s:
             self._left.popleft()
         words: dict[str, Word] = {}
-        seen = asked.seen if asked.board == self._lifetime else 0
+        same = asked.board == self._lifetime
+        seen = asked.seen if same else 0
         for left in self._left:
             if left.number > seen and left.word.lifetime != asked.word.lifetime:
                 _merge(words, left.word)
+        reply = BoardReply(words=words.values(), lifetime=self._lifetime)
+        self._pass_on_crashes(asked, reply, asked.crashes_seen if same else 0)
         self._number += 1
+        reply.number = self._number
         self._left.append(_Left(self._number, asked.word, now_unix_s + KEPT_S))
-        return BoardReply(words=words.values(), number=self._number, lifetime=self._lifetime)
+        return reply
+
+    def _pass_on_crashes(self, asked: BoardRequest, reply: BoardReply, seen: int) -> None:
+        """Take in a router's records of requests that end servers, and tell it those it lacks."""
+        now_unix_s = self._clock.now_s()
+        for word in asked.word.crashes:
+            crash_words.hear(self._crashes, word, now_unix_s, asked.word.address)
+        # They are told from here on, so that they need not go with the word as well.
+        asked.word.ClearField('crashes')
+        crashes, number = crash_words.words_since(self._crashes, seen, now_unix_s)
+        reply.crashes.extend(crashes)
+        reply.crashes_number = number
 
 
 def _merge(words: dict[str, Word], word: Word) -> None:
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
@@ -0,0 +1,97 @@
+"""Find out, for each run that broke, whether the process of its server ended.
+
+A broken connection alone says nothing: answers are lost and connections cut while servers go on.
+A server that refuses connections right after, or whose entry is gone soon after, has ended.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+import anyio
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routes.forwarded import ServerLinks
+from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routing import crash_events as events
+from endivesaddle.fleet.routing.crash_records import CrashRecords
+from endivesaddle.fleet.seams import NeverSent, ServerRefused
+
+CHECK_S = 0.1
+"""A server's machine refuses a connection within milliseconds."""
+PENDING_S = 8.0
+"""The entry of a server that ended without a word is gone from the store well within this."""
+MOST_PENDING = 512
+MOST_ENDED = 256
+
+
+class BrokenRun(NamedTuple):
+    """A run without an answer, of which it is not known yet whether its server ended."""
+
+    digest: str
+    server: RouteServer
+    until_unix_s: float
+
+
+class CrashWatch:
+    """Broken runs of one router."""
+
+    def __init__(
+        self, records: CrashRecords, known: Known, links: ServerLinks, clock: Clock
+    ) -> None:
+        """Note in ``records`` which requests ran at servers that ended."""
+        self._records = records
+        self._known = known
+        self._links = links
+        self._clock = clock
+        self._pending: deque[BrokenRun] = deque(maxlen=MOST_PENDING)
+        self._ended: deque[RouteServer] = deque(maxlen=MOST_ENDED)
+        known.listeners.append(self._look)
+
+    async def broke(self, digest: str, server: RouteServer) -> bool:
+        """Take in a run that broke, and tell whether its server is known to have ended.
+
+        Looks at the server for ``CHECK_S`` at most; what the store tells later counts too.
+        """
+        until_unix_s = self._clock.now_s() + PENDING_S
+        self._pending.append(BrokenRun(digest, server, until_unix_s))
+        listens: bool | None = None
+        if server not in self._ended:
+            listens = await self._listens(server)
+            events.BROKEN.log(digest=digest, server=server.lifetime, listens=listens)
+        if listens:
+            self._drop(server)
+        elif listens is False:
+            self._ended.append(server)
+        self._look()
+        return server in self._ended
+
+    async def _listens(self, server: RouteServer) -> bool | None:
+        """Tell whether a server takes connections; None where that can't be told."""
+        with anyio.move_on_after(CHECK_S):
+            try:
+                await self._links.check(server)
+            except ServerRefused:
+                return False
+            except NeverSent:
+                return None
+            return True
+        return None
+
+    def _drop(self, server: RouteServer) -> None:
+        """Forget runs that broke at a server that goes on."""
+        kept = [run for run in self._pending if run.server != server]
+        self._pending = deque(kept, maxlen=MOST_PENDING)
+
+    def _look(self) -> None:
+        """Note the runs whose servers are known to have ended by now."""
+        if not self._pending:
+            return
+        now_unix_s = self._clock.now_s()
+        runs = [run for run in self._pending if run.until_unix_s > now_unix_s]
+        self._pending = deque(maxlen=MOST_PENDING)
+        for run in runs:
+            if run.server in self._ended or run.server.lifetime not in self._known.servers:
+                self._records.ended(run.digest, run.server.lifetime, now_unix_s)
+            else:
+                self._pending.append(run)
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -123,6 +123,12 @@
         is leaving), ``ServerLost`` where it may have run.
         """
 
+    async def check(self, server: RouteServer) -> None:
+        """Connect to a server, sending nothing.
+
+        Raises ``ServerRefused`` where nobody listens, ``NeverSent`` where that can't be told.
+        """
+
 
 class Sink(Protocol):
     """The way back to the caller."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -13,6 +13,7 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
+from endivesaddle.fleet.routes.crash_watch import CrashWatch
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForwardRequest,
@@ -71,9 +72,14 @@
         self.wallet = wallet
         self.links = links
         self.clock = clock
+        self.crashes = CrashWatch(dispatcher.crashes, dispatcher.known, links, clock)
 
     async def serve(self, request: ForwardRequest, sink: Sink) -> None:
         """Give a request its answer; a cancelled call settles what it reserved."""
+        held = self.dispatcher.held(request)
+        if held is not None:
+            await self._refuse(request, sink, held)
+            return
         reservation: Reservation | Refusal = Reservation(None, 0)
         if request.account is not None:
             reservation = await self.wallet.reserve(
@@ -175,10 +181,17 @@
             place.silent()
             return self._failed(place, Outcome.NOT_SENT, str(error))
         except ServerLost as error:
-            return self._failed(place, Outcome.LOST, str(error))
+            return await self._lost(place, str(error))
         finally:
             place.end(well)
 
+    async def _lost(self, place: Place, reason: str) -> Outcome:
+        """Learn from a run that broke whether its server ended, and under which request."""
+        outcome = self._failed(place, Outcome.LOST, reason)
+        if await self._runner.crashes.broke(self.request.digest(), place.lane.server):
+            place.silent()
+        return outcome
+
     def _call(self, server: RouteServer) -> ServerCall:
         known = self._runner.dispatcher.known
         last_event = self._progress.last_event
@@ -270,6 +283,8 @@
         request = self.request
         if outcome in {Outcome.FAILED, Outcome.LOST} and not request.route.repeatable:
             return 'it may have run and can not be repeated'
+        if self._runner.dispatcher.held(request) is not None:
+            return 'servers ended while they ran it'
         if self._progress.runs >= request.route.max_attempts:
             return f'it ran on {self._progress.runs} servers'
         if request.end_unix_s - self._runner.clock.now_s() < LEAST_LEFT_S:
@@ -305,6 +320,8 @@
 
     def _log_answered(self, place: Place, status: int) -> None:
         now_unix_s = self._runner.clock.now_s()
+        if status in SUCCESSES:
+            self._runner.dispatcher.answered(self.request)
         first_s = (self._first_unix_s or now_unix_s) - self.request.began_unix_s
         events.ANSWERED.log(
             request_id=self.request.request_id,
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -9,6 +9,7 @@
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.routing.choosing import ASKED_TOKENS, Desks, NoDesks, choose
+from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane, Lanes, is_engine
 from endivesaddle.fleet.routing.placing import Setting, placing_policies
@@ -87,6 +88,7 @@
         self.known = known
         self.lanes = Lanes()
         self.sent_parts = SentParts()
+        self.crashes = CrashRecords(settings)
         self.large_listeners: list[Callable[[], None]] = []
         self.counts: Counter[str] = Counter()
         self.desks: Desks = NoDesks()
@@ -130,6 +132,22 @@
             return Place(self, await choose(setting, policy, self.desks), want)
         return Place(self, policy(setting), want)
 
+    def held(self, request: ForwardRequest) -> Refusal | None:
+        """Refuse a request that ended too many servers; None where it may run."""
+        if not self.crashes:
+            return None
+        held_s = self.crashes.held_s(request.digest(), self.now_s())
+        if not held_s:
+            return None
+        self.counts['held_back'] += 1
+        reason = 'servers ended each time that they ran this request'
+        return Refusal('ends_servers', reason, NOT_RUN, UNAVAILABLE, round(held_s, 2))
+
+    def answered(self, request: ForwardRequest) -> None:
+        """Note that a request was answered with success."""
+        if self.crashes:
+            self.crashes.answered(request.digest(), self.now_s())
+
     def full(self, request: ForwardRequest, reason: str) -> Refusal:
         """Refuse what ran nowhere, with a time to come back that spreads the callers."""
         again_s = AGAIN_S * (1 + SPREAD * self._random.random())
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
@@ -31,3 +31,15 @@
         20.0,
         settings.number(0, 1_000_000),
     )
+    crash_ends: int = settings.option(
+        'crash-ends',
+        'servers that may end under one request before it is held back',
+        3,
+        settings.whole(1, 1000),
+    )
+    crash_held_s: float = settings.option(
+        'crash-held-s',
+        'for how long such a request is held back at first; each further end doubles it',
+        600.0,
+        settings.number(1, 86_400),
+    )
