Reproduce words of servers that nobody reads, failing

A server says in its answers that it leaves, or that it wants nothing for some seconds; requests go on to it.

--- /dev/null
+++ b/features/subjects/saying_servers.py
@@ -0,0 +1,220 @@
+"""Subject: routers, and servers that say things of themselves in their answers."""
+
+import asyncio
+import itertools
+
+import anyio
+import msgspec
+
+from endivesaddle.backend_servers.forward_calls import ForwardLinks
+from endivesaddle.backend_servers.kept_links import KeptLinks
+from endivesaddle.backend_servers.server_connection import ServerConnection
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.board import Board
+from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
+from endivesaddle.fleet.routes.dialect import Dialect
+from endivesaddle.fleet.routes.forwarded import ForwardRequest
+from endivesaddle.fleet.routes.remote_store import answer_store
+from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
+from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.fleet.routes.shared_polls import SharedPolls
+from endivesaddle.stand_ins.memory_peers import MemoryNet
+from endivesaddle.stand_ins.memory_store import MemoryStore
+from subjects.cut_router import CutRouter
+from subjects.forward_runs import RecordingSink
+from subjects.leaving_servers import SERVERS, SERVICE, Entries
+from subjects.links_loop import ScenarioLoop
+
+START_S = 3.0
+PAUSE_S = 0.1
+MOST_TRIES = 60
+OK = 200
+UNAVAILABLE = 503
+ACCOUNT = RouteAccount('ateliers', (), None, None)
+REQUEST_ID = b'endivesaddle-request-id: '
+LEAVES = b'endivesaddle-leaving: 1\r\n'
+NOT_RUN = b'endivesaddle-not-run: 1\r\n'
+ROUTE = Route('boards', 'host', '/b/', Repeat.SAFE, 4000, 500, 1, (Target(SERVICE, 1),), 3)
+
+
+class SayingServer:
+    """One server: what it answers, and how many requests it got."""
+
+    def __init__(self) -> None:
+        """Answer well."""
+        self.got = 0
+        self.status = OK
+        self.headers = b''
+
+    def leave(self, status: int) -> None:
+        """Say in answers of a status that it leaves."""
+        self.status = status
+        self.headers = LEAVES
+        if status == UNAVAILABLE:
+            self.headers += NOT_RUN
+
+    def turn_away(self, retry_after: str) -> None:
+        """Turn requests away, and say for how long it wants none."""
+        self.status = UNAVAILABLE
+        self.headers = NOT_RUN + f'retry-after: {retry_after}\r\n'.encode()
+
+    def answer(self, request: bytes) -> bytes:
+        """Take a request and return the bytes of its answer."""
+        self.got += 1
+        start = request.index(REQUEST_ID)
+        named = request[start : request.index(b'\r\n', start)]
+        return (
+            b'HTTP/1.1 %d Said\r\n%s\r\nendivesaddle-seal: x\r\n%scontent-length: 4\r\n\r\nbody'
+            % (self.status, named, self.headers)
+        )
+
+
+class SayingTransport(asyncio.Transport):
+    """A connection to one of them."""
+
+    def __init__(self, server: SayingServer, connection: ServerConnection) -> None:
+        """Have ``server`` answer what is sent."""
+        super().__init__()
+        self._server = server
+        self._connection = connection
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Take what is sent, and answer."""
+        answer = self._server.answer(bytes(data))
+        asyncio.get_running_loop().call_soon(self._connection.data_received, answer)
+
+    def is_closing(self) -> bool:
+        """Stay open."""
+        return False
+
+    def abort(self) -> None:
+        """Stay open."""
+
+
+class SayingServers:
+    """Routers before such servers; each call runs on one loop in virtual time."""
+
+    def __init__(self, routers: int, servers: int, sidecars: int = 0) -> None:
+        """Start them, and let them find each other."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._store = MemoryStore(self._clock)
+        self._net = MemoryNet(self._clock)
+        self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
+        self._routers: list[CutRouter] = []
+        self._runners: list[Runner] = []
+        self._tasks: list[asyncio.Future[None]] = []
+        self._ids = itertools.count()
+        self.servers = [SayingServer() for _ in range(servers)]
+        self.sinks: list[RecordingSink] = []
+        self._loop.run(self._start, routers)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self._loop.run(anyio.sleep, seconds)
+
+    def lose_store(self, lost: bool) -> None:
+        """Take the store away from all, or bring it back."""
+        self._store.fail(lost)
+
+    def enter(self, server: int, born_unix_ms: int = 0) -> None:
+        """Write a server's entry, as one that takes requests."""
+        self._loop.run(self._enter, server, born_unix_ms)
+
+    def vanish(self, server: int, seconds: float) -> None:
+        """Remove a server's entry for a while."""
+        self._store.remove(f'{SERVERS}life-{server}')
+        self.sleep(seconds)
+        self.enter(server)
+
+    def meet(self, router: int, server: int) -> None:
+        """Send requests until one has reached a server."""
+        for _ in range(MOST_TRIES):
+            if self.servers[server].got:
+                break
+            self.come(1, router)
+        assert self.servers[server].got
+        self._forget()
+
+    def come(self, times: int, router: int) -> None:
+        """Send requests, one after the other."""
+        self._loop.run(self._come, times, router)
+
+    def _forget(self) -> None:
+        """Count from here on."""
+        self.sinks.clear()
+        for server in self.servers:
+            server.got = 0
+
+    async def _start(self, routers: int) -> None:
+        for entered, _ in enumerate(self.servers):
+            await self._enter(entered, 0)
+        for number, address in enumerate(self._sidecars):
+            await self._start_sidecar(f's{number}', address)
+        for number in range(routers):
+            self._start_router(number)
+        await anyio.sleep(START_S)
+
+    def _start_router(self, number: int) -> None:
+        name = f'router-{number}'
+        router = CutRouter(name, f'10.0.0.{number}:1', self._net, self._store, Entries())
+        router.start(ACCOUNT)
+        links = ForwardLinks(KeptLinks(self._connect), Dialect(), self._clock)
+        self._routers.append(router)
+        self._runners.append(Runner(router.dispatcher, router.wallet, links, self._clock))
+
+    async def _start_sidecar(self, name: str, address: str) -> None:
+        polls = SharedPolls(self._store, self._clock)
+        handlers = Handlers()
+        answer_store(handlers, polls, self._clock)
+        Board(self._clock, name).register(handlers)
+        self._net.serve(address, handlers)
+        self._tasks.append(asyncio.ensure_future(polls.run()))
+        own = Instance(SIDECAR, name, address, 'porto-a')
+        await Entry(self._store, self._clock, own, lease_s=90).keep()
+
+    async def _enter(self, number: int, born_unix_ms: int) -> None:
+        address = f'10.0.2.{number}:1'
+        server = RouteServer(
+            f'life-{number}', SERVICE, address, 'porto-a', 64, born_unix_ms=born_unix_ms
+        )
+        self._store.put(f'{SERVERS}{server.lifetime}', msgspec.json.encode(server))
+
+    async def _connect(self, address: str) -> ServerConnection:
+        await anyio.sleep(0)
+        connection = ServerConnection()
+        number = int(address.partition(':')[0].rpartition('.')[2])
+        connection.connection_made(SayingTransport(self.servers[number], connection))
+        return connection
+
+    async def _come(self, times: int, router: int) -> None:
+        for _ in range(times):
+            sink = RecordingSink()
+            await self._runners[router].serve(self._made(), sink)
+            self.sinks.append(sink)
+            await anyio.sleep(PAUSE_S)
+
+    def _made(self) -> ForwardRequest:
+        now_unix_s = self._clock.now_s()
+        request_id = f'attempt-{next(self._ids)}'
+        return ForwardRequest(
+            request_id=request_id,
+            route=ROUTE,
+            account=ACCOUNT,
+            method='GET',
+            target='/b/x',
+            headers=(('host', 'host'), ('endivesaddle-request-id', request_id)),
+            body=b'',
+            deadline_unix_s=now_unix_s + 4,
+            end_unix_s=now_unix_s + 4,
+            prompt_tokens=0,
+            max_tokens=0,
+            parts=(),
+            last_event=-1,
+            began_unix_s=now_unix_s,
+        )
