Take a server's word in an answer that it leaves, and tell the other routers

Callers' requests went on to a server that had said in its answers that it leaves, 2.9 s and longer after: the store was down, and its entry was all that routers read. The answer's word went to the caller with the other headers.

Now a life of a server that says so leaves for good at this router: an entry of the store or a list of another router that was written earlier does not bring it back, its next life (by its birth) does. The other routers hear of it by the same news as of requests that end servers, by talks or by the board, with or without the store; one that starts is told all.

Holds because the word goes before all entries of the same life, whichever way they come in: 'Known' asks for it where it takes in any server.

--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -64,6 +64,7 @@
         self.sealed = True
         self.declined = False
         self.misdirected = False
+        self.leaving = False
         self._from = call.last_event + 1
         self._breaks_after = breaks_after
 
--- a/features/subjects/held_request.py
+++ b/features/subjects/held_request.py
@@ -2,12 +2,14 @@
 
 import itertools
 
-from endivesaddle.fleet.routes import crash_words
+from endivesaddle.fleet.routes.left_servers import LeftServers
+from endivesaddle.fleet.routes.news import News
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
-from endivesaddle.wire.routers_pb2 import CrashWord
+from endivesaddle.wire import routers_pb2
 
 REQUEST = 'request'
+START = routers_pb2.NewsMark()
 
 
 class HeldRequest:
@@ -18,6 +20,8 @@
         self.now_unix_s = 1_700_000_000.0
         self.records = CrashRecords(ForwardSettings())
         self._other = CrashRecords(ForwardSettings())
+        self._news = News(self.records, LeftServers(), self)
+        self._other_news = News(self._other, LeftServers(), self)
         self._lives = itertools.count()
         for _ in range(ends):
             self.end()
@@ -34,24 +38,20 @@
         """Return for how long the other instance holds it back."""
         return self._other.held_s(REQUEST, self.now_unix_s)
 
+    def now_s(self) -> float:
+        """Tell the time."""
+        return self.now_unix_s
+
     def answer_elsewhere(self) -> None:
         """Tell the other instance twice, and have the request answered there."""
-        self._early = self._words(self.records)
-        self._tell(self._early, self._other)
-        self._tell(self._early, self._other)
+        self._early = self._news.since(START)
+        self._other_news.hear(self._early, 'test')
+        self._other_news.hear(self._early, 'test')
         assert self.held_elsewhere_s()
         self._other.answered(REQUEST, self.now_unix_s)
 
     def tell_all_again(self) -> None:
         """Tell what was known before the answer once more, and then all, both ways."""
-        self._tell(self._early, self._other)
-        self._tell(self._words(self._other), self.records)
-        self._tell(self._words(self.records), self._other)
-
-    def _words(self, records: CrashRecords) -> list[CrashWord]:
-        words, _ = crash_words.words_since(records, 0, self.now_unix_s)
-        return words
-
-    def _tell(self, words: list[CrashWord], records: CrashRecords) -> None:
-        for word in words:
-            crash_words.hear(records, word, self.now_unix_s, 'test')
+        self._other_news.hear(self._early, 'test')
+        self._news.hear(self._other_news.since(START), 'test')
+        self._other_news.hear(self._news.since(START), 'test')
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -17,6 +17,7 @@
 MISDIRECTED = 421
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
+YES = '1'
 
 _MS = 1000
 
@@ -36,6 +37,7 @@
             pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] != LENGTH
         )
         self.declined = dialect.declined in named
+        self.leaving = named.get(dialect.leaving, '').strip() == YES
         self.misdirected = response.status == MISDIRECTED
         echoed = named.get(dialect.request_id, '')
         # A body that was encoded on the way is not the server's: no caller asked for it.
--- a/packages/fleet/src/endivesaddle/fleet/routes/board.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/board.py
@@ -9,11 +9,12 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.ports import Handlers
-from endivesaddle.fleet.routes import crash_words
+from endivesaddle.fleet.routes.left_servers import LeftServers
+from endivesaddle.fleet.routes.news import News
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.wire import rpcs
-from endivesaddle.wire.routers_pb2 import BoardReply, BoardRequest, Word
+from endivesaddle.wire.routers_pb2 import BoardReply, BoardRequest, NewsMark, Word
 
 KEPT_S = 2.0
 """Words are kept for so long; a router that asks less often misses some, as by a lost call."""
@@ -36,8 +37,8 @@
         self._lifetime = lifetime
         self._number = 0
         self._left: deque[_Left] = deque()
-        # Kept as long as a router keeps them: those that start again are told all.
-        self._crashes = CrashRecords(ForwardSettings())
+        # Kept as long as by a router: those that start again are told all.
+        self._news = News(CrashRecords(ForwardSettings()), LeftServers(), clock)
 
     def register(self, handlers: Handlers) -> None:
         """Answer the routers' calls."""
@@ -58,23 +59,15 @@
             if left.number > seen and left.word.lifetime != asked.word.lifetime:
                 _merge(words, left.word)
         reply = BoardReply(words=words.values(), lifetime=self._lifetime)
-        self._pass_on_crashes(asked, reply, asked.crashes_seen if same else 0)
+        self._news.hear(asked.word.news, asked.word.address)
+        # They are told from here on, so that they need not go with the word as well.
+        asked.word.ClearField('news')
+        reply.news.CopyFrom(self._news.since(asked.news_seen if same else NewsMark()))
         self._number += 1
         reply.number = self._number
         self._left.append(_Left(self._number, asked.word, now_unix_s + KEPT_S))
         return reply
 
-    def _pass_on_crashes(self, asked: BoardRequest, reply: BoardReply, seen: int) -> None:
-        """Take in a router's records of requests that end servers, and tell it those it lacks."""
-        now_unix_s = self._clock.now_s()
-        for word in asked.word.crashes:
-            crash_words.hear(self._crashes, word, now_unix_s, asked.word.address)
-        # They are told from here on, so that they need not go with the word as well.
-        asked.word.ClearField('crashes')
-        crashes, number = crash_words.words_since(self._crashes, seen, now_unix_s)
-        reply.crashes.extend(crashes)
-        reply.crashes_number = number
-
 
 def _merge(words: dict[str, Word], word: Word) -> None:
     merged = Word()
--- a/packages/fleet/src/endivesaddle/fleet/routes/dialect.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/dialect.py
@@ -18,7 +18,8 @@
     ``reserved`` are set by the router alone: what a caller sends under these
     names is dropped.  ``seal`` is the server's word that an answer is its own,
     ``declined`` its word that it did not run a request, ``lifetime`` names the
-    life of a server that may run it.
+    life of a server that may run it, ``leaving`` (with "1") is a server's word
+    that it takes no more requests in this life.
     """
 
     request_id: str = 'endivesaddle-request-id'
@@ -29,6 +30,7 @@
     account: str = 'endivesaddle-account'
     lifetime: str = 'endivesaddle-lifetime'
     declined: str = 'endivesaddle-not-run'
+    leaving: str = 'endivesaddle-leaving'
     priority: str = 'endivesaddle-priority'
     last_event: str = 'last-event-id'
     retry_after: str = 'retry-after'
@@ -37,6 +39,7 @@
             'authorization',
             'endivesaddle-account',
             'endivesaddle-deadline-ms',
+            'endivesaddle-leaving',
             'endivesaddle-lifetime',
             'endivesaddle-not-run',
             'endivesaddle-priority',
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -95,7 +95,8 @@
     """The head of a server's answer, and its body on demand.
 
     ``own`` tells that it answers this request, ``sealed`` that the server vouches
-    for it, ``declined`` that the server did not run the request and won't.
+    for it, ``declined`` that the server did not run the request and won't,
+    ``leaving`` that the server wants no more requests in this life.
     The body raises ``ServerLost`` where it ends early.
     """
 
@@ -105,6 +106,7 @@
     sealed: bool
     declined: bool
     misdirected: bool
+    leaving: bool
 
     def events(self) -> AsyncIterator[bytes]:
         """Yield whole events of a stream as they arrive."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -6,6 +6,7 @@
 from endivesaddle.fleet.routes import events, store_events
 from endivesaddle.fleet.routes.book import RouteBook
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
+from endivesaddle.fleet.routes.left_servers import LeftLife, LeftServers
 
 Listener = Callable[[], None]
 
@@ -26,6 +27,8 @@
         self.servers_version = 0
         self.servers_heard_unix_s = 0.0
         self.listeners: list[Listener] = []
+        self.left = LeftServers()
+        self.left.listeners.append(self._said_it_leaves)
         self._by_service: dict[str, tuple[RouteServer, ...]] = {}
 
     def declare(self, declared: Declared, document: bytes, source: str) -> bool:
@@ -51,6 +54,9 @@
             # News of a life that ended, under the name of the one that is there now.
             return
         self.missing.pop(server.lifetime, None)
+        if self.left.said(LeftLife(server.lifetime, server.born_unix_ms)):
+            # Its own word in an answer goes before an entry that was written earlier.
+            server = server._replace(leaving=True)
         if known == server:
             return
         self.servers[server.lifetime] = server
@@ -95,6 +101,11 @@
         """Return the servers of a service that are not leaving."""
         return self._by_service.get(service, ())
 
+    def _said_it_leaves(self, lifetime: str, source: str) -> None:
+        known = self.servers.get(lifetime)
+        if known is not None:
+            self.server(known, source)
+
     def _tell(self) -> None:
         grouped: dict[str, list[RouteServer]] = {}
         for server in self.servers.values():
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -14,12 +14,13 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import FleetError
 from endivesaddle.fleet.ports import Handlers, Peers
-from endivesaddle.fleet.routes import crash_words, events, sidecar_events
+from endivesaddle.fleet.routes import events, sidecar_events
 from endivesaddle.fleet.routes.avoided import Avoided
 from endivesaddle.fleet.routes.declarations import DeclarationsFetch
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.following import Decoder
 from endivesaddle.fleet.routes.known import Contact, Known
+from endivesaddle.fleet.routes.news import News, Reader
 from endivesaddle.fleet.routes.roster import Roster
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.fleet.routing.sent_parts import SentPart
@@ -78,8 +79,9 @@
         self._no_board = Avoided(clock, NO_BOARD_S, LONGEST_NO_BOARD_S)
         self._seen = 0
         self._seen_board = ''
-        self._crashes_seen = 0
-        self._board_told = crash_words.Told()
+        self._news = News(parts.dispatcher.crashes, parts.known.left, clock)
+        self._news_seen = routers_pb2.NewsMark()
+        self._board = Reader()
         self._leaving: set[str] = set()
         self._declarations = DeclarationsFetch(parts.known, parts.contact, parts.decoder)
         self._large = anyio.Event()
@@ -139,15 +141,12 @@
     async def _exchange(self, address: str, told: int) -> bool:
         word = self._word()
         word.parts.extend(_parts_words(self._parts.dispatcher.sent_parts.since(told)))
-        crashes, number = self._board_told.words(
-            self._parts.dispatcher.crashes, self._clock.now_s()
-        )
-        word.crashes.extend(crashes)
+        word.news.CopyFrom(self._news.since(self._board.mark))
         request = routers_pb2.BoardRequest(
             word=word,
             seen=self._seen,
             board=self._seen_board,
-            crashes_seen=self._crashes_seen,
+            news_seen=self._news_seen,
         )
         try:
             reply = await self._peers.call(
@@ -158,9 +157,9 @@
             self._no_board.failed(address)
             return False
         self._no_board.answered(address)
-        self._board_told.arrived(reply.lifetime, number)
-        self._hear_crashes(reply.crashes, address)
-        self._crashes_seen = reply.crashes_number
+        self._board.took(reply.lifetime, word.news.mark)
+        self._news.hear(reply.news, address)
+        self._news_seen = reply.news.mark
         for heard in reply.words:
             self._hear(heard)
         self._sum_up()
@@ -171,16 +170,13 @@
     async def _talk(self, address: str) -> None:
         sent_parts = self._parts.dispatcher.sent_parts
         told = sent_parts.count
-        told_crashes = crash_words.Told()
+        reader = Reader()
         with self._talking[address]:
             while True:
                 word = self._word()
                 word.parts.extend(_parts_words(sent_parts.since(told)))
                 told = sent_parts.count
-                crashes, number = told_crashes.words(
-                    self._parts.dispatcher.crashes, self._clock.now_s()
-                )
-                word.crashes.extend(crashes)
+                word.news.CopyFrom(self._news.since(reader.mark))
                 try:
                     reply = await self._peers.call(
                         address, rpcs.WORD, word, self._clock.now_s() + REPLY_S
@@ -190,7 +186,7 @@
                     # each failure says no more than the one before.
                     await anyio.sleep(QUIET_S)
                     continue
-                told_crashes.arrived(reply.word.lifetime, number)
+                reader.took(reply.word.lifetime, word.news.mark)
                 self._hear(reply.word)
                 self._sum_up()
                 self._learn(reply, address)
@@ -243,17 +239,12 @@
         if word.leaving:
             self._leaving.add(word.lifetime)
         self._lanes[word.lifetime] = (self._clock.now_s(), tuple(word.lanes))
-        self._hear_crashes(word.crashes, word.address)
+        self._news.hear(word.news, word.address)
         for sent in word.parts:
             lane = self._parts.dispatcher.lanes.find(sent.server)
             if lane is not None:
                 lane.hold(sent.parts, self._clock.now_s())
 
-    def _hear_crashes(self, words: Iterable[routers_pb2.CrashWord], source: str) -> None:
-        records = self._parts.dispatcher.crashes
-        for word in words:
-            crash_words.hear(records, word, self._clock.now_s(), source)
-
     def _learn(self, reply: routers_pb2.WordReply, address: str) -> None:
         parts = self._parts
         if not parts.roster.sidecars:
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routes/news.py
@@ -0,0 +1,85 @@
+"""News of servers and requests that instances tell each other, whatever the store does.
+
+They come from answers and broken runs, and concern all routers: a server that leaves, a request
+that ends servers.  Each reader is told what it lacks, its next life all anew; what is told twice or
+late changes nothing.
+"""
+
+from collections.abc import Iterable
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.routes.left_servers import LeftLife, LeftServers
+from endivesaddle.fleet.routing.crash_records import CrashRecord, CrashRecords
+from endivesaddle.wire import routers_pb2
+
+MOST_CRASHES = 64
+"""Records in one word, some 4 KB: what ran at one server when it ended. The rest goes with the
+next word."""
+
+
+class News:
+    """What one instance knows, as it tells it to others and hears it from them."""
+
+    def __init__(self, crashes: CrashRecords, left: LeftServers, clock: Clock) -> None:
+        """Tell what these two hold, and add to them."""
+        self._crashes = crashes
+        self._left = left
+        self._clock = clock
+
+    def since(self, mark: routers_pb2.NewsMark) -> routers_pb2.News:
+        """Return what came after a reader's mark, with the next mark."""
+        news = routers_pb2.News(mark=mark)
+        crashes = self._crashes.since(mark.crashes, MOST_CRASHES)
+        if crashes:
+            news.crashes.extend(self._crash_words(crashes))
+            news.mark.crashes = crashes[-1].number
+        news.left.extend(_left_words(self._left.since(mark.left)))
+        news.mark.left = self._left.count
+        return news
+
+    def hear(self, news: routers_pb2.News, source: str) -> None:
+        """Take in what another instance told."""
+        now_unix_s = self._clock.now_s()
+        for word in news.crashes:
+            told = CrashRecord(
+                word.digest,
+                frozenset(word.ended),
+                frozenset(word.answered),
+                now_unix_s + max(0.0, word.held_s),
+            )
+            self._crashes.hear(told, now_unix_s, source)
+        for left in news.left:
+            self._left.add(LeftLife(left.lifetime, left.born_unix_ms), source)
+
+    def _crash_words(self, records: Iterable[CrashRecord]) -> Iterable[routers_pb2.CrashWord]:
+        now_unix_s = self._clock.now_s()
+        for record in records:
+            yield routers_pb2.CrashWord(
+                digest=record.digest,
+                ended=sorted(record.ended),
+                answered=sorted(record.answered),
+                held_s=max(0.0, record.held_until_unix_s - now_unix_s),
+            )
+
+
+class Reader:
+    """How far one other instance has been told; its next life is told all anew."""
+
+    def __init__(self) -> None:
+        """Start with nothing told."""
+        self.mark = routers_pb2.NewsMark()
+        self._lifetime = ''
+
+    def took(self, lifetime: str, mark: routers_pb2.NewsMark) -> None:
+        """Note that the reader, in this life, took in news up to a mark."""
+        if self._lifetime in {'', lifetime}:
+            self.mark = mark
+        else:
+            # Another life answered than was told before: it lacks what came earlier.
+            self.mark = routers_pb2.NewsMark()
+        self._lifetime = lifetime
+
+
+def _left_words(lives: Iterable[LeftLife]) -> Iterable[routers_pb2.LeftWord]:
+    for life in lives:
+        yield routers_pb2.LeftWord(lifetime=life.lifetime, born_unix_ms=life.born_unix_ms)
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -213,6 +213,8 @@
         return outcome
 
     async def _answered(self, place: Place, answer: ServerAnswer) -> Outcome:
+        if answer.leaving and not answer.misdirected:
+            place.leaves()
         if answer.misdirected:
             self._progress.not_run()
             place.misdirected()
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -8,6 +8,7 @@
 from endivesaddle.fleet.routes.declared import Route, RouteServer
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.left_servers import LeftLife
 from endivesaddle.fleet.routing.choosing import ASKED_TOKENS, Desks, NoDesks, choose
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
@@ -75,6 +76,12 @@
         """Note that the server had no room."""
         self._dispatcher.counts['declined'] += 1
 
+    def leaves(self) -> None:
+        """Note that the server said in its answer that it leaves."""
+        server = self.lane.server
+        life = LeftLife(server.lifetime, server.born_unix_ms)
+        self._dispatcher.known.left.add(life, 'answer')
+
     def misdirected(self) -> None:
         """Note that the address belongs to another server now."""
         self._dispatcher.known.withdrawn(self.lane.server.lifetime, 'misdirected')
