Send nothing to a server for as long as it said in turning a request away

A server that answers 503 with Retry-After wants nothing from that router for so long; requests went on to it, each of which it had to turn away. Cause: of such an answer only 'turned away' was kept, for the one request. Now the lane has the deadline, asked for where servers are chosen and right before a request is sent; it outlives a gap in the server's entry. Where no server is left, callers are told when the first one wants requests again instead of coming back too soon.

Holds because nothing else sends requests to servers, and the last look is behind the wait for a connection.

--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -65,6 +65,7 @@
         self.declined = False
         self.misdirected = False
         self.leaving = False
+        self.wanted_in_s = 0.0
         self._from = call.last_event + 1
         self._breaks_after = breaks_after
 
--- a/features/subjects/saying_servers.py
+++ b/features/subjects/saying_servers.py
@@ -129,7 +129,7 @@
     def vanish(self, server: int, seconds: float) -> None:
         """Remove a server's entry for a while."""
         self._store.remove(f'{SERVERS}life-{server}')
-        self.sleep(seconds)
+        self._loop.run(self._tend, seconds)
         self.enter(server)
 
     def meet(self, router: int, server: int) -> None:
@@ -160,6 +160,13 @@
             self._start_router(number)
         await anyio.sleep(START_S)
 
+    async def _tend(self, seconds: float) -> None:
+        """Let time pass, after which the routers forget servers that are gone."""
+        await anyio.sleep(seconds)
+        for router in self._routers:
+            present = set(router.known.servers)
+            router.dispatcher.lanes.drop_all_but(present, self._clock.now_s())
+
     def _start_router(self, number: int) -> None:
         name = f'router-{number}'
         router = CutRouter(name, f'10.0.0.{number}:1', self._net, self._store, Entries())
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -1,5 +1,6 @@
 """Send forwarded requests: what a server is told beside what the caller sent."""
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -15,6 +16,7 @@
 EVENT_BYTES = 1 << 20
 """The longest event of a stream that is passed on."""
 MISDIRECTED = 421
+UNAVAILABLE = 503
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
 YES = '1'
@@ -38,6 +40,9 @@
         )
         self.declined = dialect.declined in named
         self.leaving = named.get(dialect.leaving, '').strip() == YES
+        self.wanted_in_s = 0.0
+        if response.status == UNAVAILABLE:
+            self.wanted_in_s = _seconds(named.get(dialect.retry_after, ''))
         self.misdirected = response.status == MISDIRECTED
         echoed = named.get(dialect.request_id, '')
         # A body that was encoded on the way is not the server's: no caller asked for it.
@@ -109,3 +114,15 @@
             own.append((LENGTH, str(len(request.body))))
         pairs = (*request.headers, *own)
         return [(name.encode('latin-1'), value.encode('latin-1')) for name, value in pairs]
+
+
+def _seconds(text: str) -> float:
+    """Read a number of seconds; 0 for none, and for what is no time to wait.
+
+    HTTP allows a date here, too: servers' clocks may be wrong by more than their dates say.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return seconds if math.isfinite(seconds) and seconds > 0 else 0.0
--- a/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/kept_links.py
@@ -75,10 +75,10 @@
         connection = await self._taken(lifetime, address)
         try:
             # Looked at again when the connection is there, which may take a second.
-            # Failure: the server was chosen in time, left meanwhile, and got the request
-            # up to 1 s after it should have had none.
+            # Failure: the server was chosen in time, left or asked for nothing meanwhile, and
+            # got the request up to 1 s after it should have had none.
             if not request.admitted():
-                raise ServerLeft('the server leaves')
+                raise ServerLeft('the server takes no more requests')
             response = connection.send(encoded, request.method == BODILESS)
             await response.head()
             yield response
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -198,6 +198,6 @@
             self.parts.store.hubs = self.parts.roster.hubs
             self.parts.wallet.routers = len(self.parts.roster.others) + 1
             present = set(self.parts.known.servers)
-            self.parts.dispatcher.lanes.drop_all_but(present)
+            self.parts.dispatcher.lanes.drop_all_but(present, self._clock.now_s())
             for lifetime in links.lifetimes() - present:
                 links.drop(lifetime)
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -81,7 +81,7 @@
     """One sending of a request to one server.
 
     ``last_event`` is the number of the last event that the caller has, -1 for none;
-    ``admitted`` tells whether the server still takes requests.
+    ``admitted`` tells whether the server takes requests at that moment.
     """
 
     request: ForwardRequest
@@ -96,7 +96,8 @@
 
     ``own`` tells that it answers this request, ``sealed`` that the server vouches
     for it, ``declined`` that the server did not run the request and won't,
-    ``leaving`` that the server wants no more requests in this life.
+    ``leaving`` that the server wants no more requests in this life, ``wanted_in_s``
+    in how many seconds it wants the next one, 0 for at once.
     The body raises ``ServerLost`` where it ends early.
     """
 
@@ -107,6 +108,7 @@
     declined: bool
     misdirected: bool
     leaving: bool
+    wanted_in_s: float
 
     def events(self) -> AsyncIterator[bytes]:
         """Yield whole events of a stream as they arrive."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -14,7 +14,6 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_watch import CrashWatch
-from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForwardRequest,
     ServerAnswer,
@@ -26,6 +25,7 @@
 from endivesaddle.fleet.routes.reservation import Reservation
 from endivesaddle.fleet.routes.wallet import Wallet
 from endivesaddle.fleet.routing.dispatcher import Dispatcher, Place
+from endivesaddle.fleet.routing.lanes import Lane
 from endivesaddle.fleet.seams import NeverSent, ServerLeft, ServerLost
 from endivesaddle.fleet.sentinels import HAS_RUN, NOT_RUN, RUN_UNKNOWN, Refusal
 
@@ -154,7 +154,7 @@
         """Send it to one server and pass on what comes."""
         request = self.request
         server = place.lane.server
-        call = self._call(server)
+        call = self._call(place.lane)
         events.PLACED.log(
             request_id=request.request_id,
             server=server.lifetime,
@@ -192,12 +192,15 @@
             place.silent()
         return outcome
 
-    def _call(self, server: RouteServer) -> ServerCall:
-        known = self._runner.dispatcher.known
+    def _call(self, lane: Lane) -> ServerCall:
         last_event = self._progress.last_event
         request = self.request
         return ServerCall(
-            request, server, request.end_unix_s, last_event, partial(known.takes, server)
+            request,
+            lane.server,
+            request.end_unix_s,
+            last_event,
+            partial(self._runner.dispatcher.takes, lane),
         )
 
     def _failed(self, place: Place, outcome: Outcome, reason: str) -> Outcome:
@@ -215,6 +218,8 @@
     async def _answered(self, place: Place, answer: ServerAnswer) -> Outcome:
         if answer.leaving and not answer.misdirected:
             place.leaves()
+        if answer.wanted_in_s:
+            place.unwanted(answer.wanted_in_s)
         if answer.misdirected:
             self._progress.not_run()
             place.misdirected()
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -9,6 +9,7 @@
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.routes.left_servers import LeftLife
+from endivesaddle.fleet.routing import forward_events as events
 from endivesaddle.fleet.routing.choosing import ASKED_TOKENS, Desks, NoDesks, choose
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
@@ -82,6 +83,12 @@
         life = LeftLife(server.lifetime, server.born_unix_ms)
         self._dispatcher.known.left.add(life, 'answer')
 
+    def unwanted(self, wanted_in_s: float) -> None:
+        """Note that the server turned a request away, and wants none for a while."""
+        now_unix_s = self._dispatcher.now_s()
+        self.lane.unwanted_until_unix_s = now_unix_s + wanted_in_s
+        events.UNWANTED.log(server=self.lane.server.lifetime, wanted_in_s=round(wanted_in_s, 3))
+
     def misdirected(self) -> None:
         """Note that the address belongs to another server now."""
         self._dispatcher.known.withdrawn(self.lane.server.lifetime, 'misdirected')
@@ -126,7 +133,7 @@
             self._share(service).request(self.now_s())
         lanes = self._open(service, exclude)
         if not lanes:
-            return self.full(request, 'no server of the service can be reached')
+            return self._none(request, service)
         engine = is_engine(self.known.book.services.get(service) if self.known.book else None)
         name = self._settings.forward_policy if engine else 'least_busy'
         self._turn += 1
@@ -160,6 +167,10 @@
         again_s = AGAIN_S * (1 + SPREAD * self._random.random())
         return Refusal('overloaded', reason, NOT_RUN, UNAVAILABLE, round(again_s, 2))
 
+    def takes(self, lane: Lane) -> bool:
+        """Tell whether a server may be sent a request now."""
+        return self.known.takes(lane.server) and lane.wanted(self.now_s())
+
     def may_repeat(self, request: ForwardRequest) -> bool:
         """Spend one repeat of the service's share."""
         allowed = self._share(self._service(request)).allow(self.now_s(), self.routers)
@@ -190,6 +201,22 @@
             for lane in self.lanes.all()
         }
 
+    def _none(self, request: ForwardRequest, service: str) -> Refusal:
+        """Refuse where no server is left, until the first of them wants requests again.
+
+        Load pattern: all servers of a service turn requests away and say for how long. Told to come
+        back sooner, callers used up their tries in that time.
+        """
+        lanes = [self.lanes.of(one) for one in self.known.of_service(service)]
+        refusal = self.full(request, 'no server of the service can be reached')
+        wanted_unix_s = min((lane.unwanted_until_unix_s for lane in lanes), default=0.0)
+        wait_s = wanted_unix_s - self.now_s()
+        if wait_s <= 0:
+            return refusal
+        again_s = wait_s + AGAIN_S * SPREAD * self._random.random()
+        reason = 'all servers of the service turn requests away for now'
+        return refusal._replace(reason=reason, retry_after_s=round(again_s, 2))
+
     def _service(self, request: ForwardRequest) -> str:
         """Return the service of a request: the same whenever it is asked."""
         targets = request.route.targets
@@ -205,10 +232,14 @@
         return share
 
     def _open(self, service: str, exclude: frozenset[str]) -> list[Lane]:
-        """Return the lanes that may be used: those heard of late, or else all."""
+        """Return the lanes that may be used: those heard of late, or else all that want requests.
+
+        A server that does not want any has said so; one that fell silent may be back.
+        """
         servers: tuple[RouteServer, ...] = self.known.of_service(service)
-        lanes = [self.lanes.of(one) for one in servers if one.lifetime not in exclude]
         now_unix_s = self.now_s()
+        lanes = [self.lanes.of(one) for one in servers if one.lifetime not in exclude]
+        lanes = [lane for lane in lanes if lane.wanted(now_unix_s)]
         return [lane for lane in lanes if lane.silent_until_unix_s <= now_unix_s] or lanes
 
 
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_events.py
@@ -0,0 +1,7 @@
+"""Log events of decisions on forwarded requests."""
+
+from endivesaddle.fleet.events import event
+
+UNWANTED = event(
+    3106, 'INFO', 'server_unwanting', 'a server turned a request away, and wants none for a while'
+)
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -65,6 +65,7 @@
         self.asking = 0
         self.heard_unix_s = 0.0
         self.silent_until_unix_s = 0.0
+        self.unwanted_until_unix_s = 0.0
         self._silences = 0
         self.own_reading_tokens = 0
         self._parts: OrderedDict[str, float] = OrderedDict()
@@ -149,6 +150,10 @@
         self.silent_until_unix_s = now_unix_s + pause_s
         self.fared(well=False, now_unix_s=now_unix_s)
 
+    def wanted(self, now_unix_s: float) -> bool:
+        """Tell whether the server takes requests of this router, as far as it said."""
+        return self.unwanted_until_unix_s <= now_unix_s
+
     def failed_share(self, now_unix_s: float) -> float:
         """Return the share of failures, old ones forgiven by halves."""
         if not self._failed_share:
@@ -185,10 +190,15 @@
         """Return the lane of a server that was met or listed, if any."""
         return self._lanes.get(lifetime)
 
-    def drop_all_but(self, lifetimes: set[str]) -> None:
-        """Forget servers that are gone and have nothing under way."""
+    def drop_all_but(self, lifetimes: set[str], now_unix_s: float) -> None:
+        """Forget servers that are gone and have nothing under way.
+
+        Not one that wants nothing for a while: its entry may be back before that is over, and
+        without the lane it would get requests at once.
+        """
         for lifetime in set(self._lanes) - lifetimes:
-            if not self._lanes[lifetime].own_in_flight:
+            lane = self._lanes[lifetime]
+            if not lane.own_in_flight and lane.wanted(now_unix_s):
                 del self._lanes[lifetime]
 
     def told(self, loads: dict[str, tuple[int, int]], now_unix_s: float) -> None:
