Reproduce two further ways to miss a request that ends servers, failing

Looked for beside the first: servers that start again under their names, of which several ends counted as one; and machines that vanish, where nothing breaks and the request hangs until its time is over.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -82,6 +82,23 @@
     Then at most 3 of them reach a server later than 6 seconds after the third end
     And the last 9 of them are told that they did not run, and when to come back
 
+  Scenario: Servers that start again under their names are told apart by their births
+    One server ended again and again; taken for one life, it counted as one end.
+    Given 3 routers and 2 servers that may be ended by a request
+    When servers that end start again under their names
+    And the request comes 40 times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 3 seconds after the third end
+    And the last 15 of them are told that they did not run, and when to come back
+
+  Scenario: A request that hangs at machines that are gone
+    Nothing breaks: the request waits until its time is over, and the entry tells that its server is
+    gone.
+    Given 3 routers and 12 servers that may be ended by a request
+    When the machines of servers that end fall silent, and their connections too
+    And the request comes 8 times, each 0.4 seconds at the next router
+    Then at most 3 of them reach a server later than 6 seconds after the third end
+    And the last 3 of them are told that they did not run, and when to come back
+
   Scenario: A request that is held back is tried once more after a while
     Servers may have been mended meanwhile. One more end holds it back for twice as long.
     Given records of a request that ended 3 servers, which hold it for 600 seconds
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -125,6 +125,19 @@
     context.fleet.servers.silent = True
 
 
+@when('the machines of servers that end fall silent, and their connections too')
+def hang(context: Any) -> None:
+    """Let all connections to them hang."""
+    context.fleet.servers.silent = True
+    context.fleet.servers.hangs = True
+
+
+@when('servers that end start again under their names')
+def same_names(context: Any) -> None:
+    """Have later births tell their lives apart."""
+    context.fleet.servers.same_names = True
+
+
 @given('records of a request that ended {ends:d} servers, which hold it for {seconds:d} seconds')
 def records(context: Any, ends: int, seconds: int) -> None:
     """Note the ends."""
--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -57,6 +57,8 @@
         self.ends_unix_s: list[float] = []
         self.breaking = 0
         self.silent = False
+        self.hangs = False
+        self.same_names = False
         self._store = store
         self._clock = clock
         self._lives = itertools.count()
@@ -81,6 +83,8 @@
             await ended.wait()
         if request.body == FATAL:
             self.end(call.server.lifetime)
+        if ended.is_set() and self.hangs:
+            await anyio.sleep_forever()
         if ended.is_set():
             raise ServerLost('the connection closed')
         yield ScriptedAnswer(call)
@@ -112,13 +116,14 @@
         await anyio.sleep(LAPSE_S)
         self._store.remove(f'{SERVERS}{lifetime}')
         await anyio.sleep(BACK_S - LAPSE_S)
-        self._begin(address)
+        self._begin(address, lifetime if self.same_names else '')
 
-    def _begin(self, address: str) -> None:
-        lifetime = f'life-{next(self._lives)}'
+    def _begin(self, address: str, name: str = '') -> None:
+        born_unix_ms = next(self._lives) + 1
+        lifetime = name or f'life-{born_unix_ms}'
         self._running[lifetime] = asyncio.Event()
         self._at[lifetime] = address
-        server = RouteServer(lifetime, SERVICE, address, 'porto-a', 64)
+        server = RouteServer(lifetime, SERVICE, address, 'porto-a', 64, born_unix_ms=born_unix_ms)
         self._store.put(f'{SERVERS}{lifetime}', msgspec.json.encode(server))
 
 
