Count each life of a server that ends under a request, also under one name

Callers saw one request end the same servers again and again. Servers that start again under their names were told apart by the name alone, so that any number of ends counted as one; and a run that broke was taken for one at a server that goes on. Now a life is its name and its birth, in one place (RouteServer.life).

--- a/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
@@ -45,7 +45,7 @@
         self._links = links
         self._clock = clock
         self._pending: deque[BrokenRun] = deque(maxlen=MOST_PENDING)
-        self._ended: deque[RouteServer] = deque(maxlen=MOST_ENDED)
+        self._ended: deque[str] = deque(maxlen=MOST_ENDED)
         known.listeners.append(self._look)
 
     async def broke(self, digest: str, server: RouteServer) -> bool:
@@ -56,15 +56,15 @@
         until_unix_s = self._clock.now_s() + PENDING_S
         self._pending.append(BrokenRun(digest, server, until_unix_s))
         listens: bool | None = None
-        if server not in self._ended:
+        if server.life not in self._ended:
             listens = await self._listens(server)
             events.BROKEN.log(digest=digest, server=server.lifetime, listens=listens)
         if listens:
             self._drop(server)
         elif listens is False:
-            self._ended.append(server)
+            self._ended.append(server.life)
         self._look()
-        return server in self._ended
+        return server.life in self._ended
 
     async def _listens(self, server: RouteServer) -> bool | None:
         """Tell whether a server takes connections; None where that can't be told."""
@@ -80,7 +80,7 @@
 
     def _drop(self, server: RouteServer) -> None:
         """Forget runs that broke at a server that goes on."""
-        kept = [run for run in self._pending if run.server != server]
+        kept = [run for run in self._pending if run.server.life != server.life]
         self._pending = deque(kept, maxlen=MOST_PENDING)
 
     def _look(self) -> None:
@@ -91,7 +91,7 @@
         runs = [run for run in self._pending if run.until_unix_s > now_unix_s]
         self._pending = deque(maxlen=MOST_PENDING)
         for run in runs:
-            if run.server in self._ended or run.server.lifetime not in self._known.servers:
-                self._records.ended(run.digest, run.server.lifetime, now_unix_s)
+            if run.server.life in self._ended or not self._known.lists(run.server):
+                self._records.ended(run.digest, run.server.life, now_unix_s)
             else:
                 self._pending.append(run)
--- a/packages/fleet/src/endivesaddle/fleet/routes/declared.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/declared.py
@@ -116,3 +116,8 @@
     slots: int
     leaving: bool = False
     born_unix_ms: int = 0
+
+    @property
+    def life(self) -> str:
+        """What names this life, also where the server starts again under its name."""
+        return f'{self.lifetime}/{self.born_unix_ms}' if self.born_unix_ms else self.lifetime
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -92,10 +92,14 @@
         for server in servers.values():
             self.server(server, source)
 
+    def lists(self, server: RouteServer) -> bool:
+        """Tell whether this life of a server is still there, leaving or not."""
+        known = self.servers.get(server.lifetime)
+        return known is not None and known.life == server.life
+
     def takes(self, server: RouteServer) -> bool:
         """Tell whether this life of a server may be sent requests."""
-        known = self.servers.get(server.lifetime)
-        return known is not None and not known.leaving and known.born_unix_ms == server.born_unix_ms
+        return self.lists(server) and not self.servers[server.lifetime].leaving
 
     def of_service(self, service: str) -> tuple[RouteServer, ...]:
         """Return the servers of a service that are not leaving."""
