Count a server that vanished while a request hung there

Where a server's machine is gone, nothing breaks: the request waits until its time is over, and that was no broken run, so that it went on to the next server.

--- a/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
@@ -66,6 +66,15 @@
         self._look()
         return server.life in self._ended
 
+    def hung(self, digest: str, server: RouteServer) -> None:
+        """Take in a run whose time was over before an answer.
+
+        A machine that is gone breaks no connection: only the server's entry tells, after a while.
+        """
+        until_unix_s = self._clock.now_s() + PENDING_S
+        self._pending.append(BrokenRun(digest, server, until_unix_s))
+        self._look()
+
     async def _listens(self, server: RouteServer) -> bool | None:
         """Tell whether a server takes connections; None where that can't be told."""
         with anyio.move_on_after(CHECK_S):
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -14,6 +14,7 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_watch import CrashWatch
+from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForwardRequest,
     ServerAnswer,
@@ -129,6 +130,7 @@
         self._kept: Whole | None = None
         self._first_unix_s = 0.0
         self._tried: set[str] = set()
+        self._at: RouteServer | None = None
 
     async def run(self) -> None:
         """Send it until it is answered or nothing more can be done."""
@@ -138,12 +140,16 @@
                 await self._give_up(place)
                 return
             self._tried.add(place.lane.server.lifetime)
+            self._at = place.lane.server
             outcome = await self._send(place)
+            self._at = None
             if outcome is Outcome.DONE or not await self._again(outcome):
                 return
 
     async def timed_out(self) -> None:
         """Answer at the end of the time that the request had."""
+        if self._at is not None:
+            self._runner.crashes.hung(self.request.digest(), self._at)
         if self._progress.started:
             self._log_broken('the time is over')
             return
