--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -10,15 +10,10 @@
 import msgspec
 
 from endivesaddle.fleet.clock import LoopClock
-from endivesaddle.fleet.ports import Handlers
-from endivesaddle.fleet.routes.board import Board
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerCall
-from endivesaddle.fleet.routes.remote_store import answer_store
 from endivesaddle.fleet.routes.roster import PREFIX as ENTRIES
-from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
 from endivesaddle.fleet.routes.running import Runner
-from endivesaddle.fleet.routes.shared_polls import SharedPolls
 from endivesaddle.fleet.seams import ServerLost, ServerRefused
 from endivesaddle.stand_ins.memory_peers import MemoryNet
 from endivesaddle.stand_ins.memory_store import MemoryStore
@@ -26,6 +21,7 @@
 from subjects.forward_runs import RecordingSink, ScriptedAnswer
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
 from subjects.links_loop import ScenarioLoop
+from subjects.memory_sidecar import MemorySidecar
 
 START_S = 3.0
 RUN_S = 0.05
@@ -140,7 +136,7 @@
         self._routers: list[CutRouter] = []
         self._runners: list[Runner] = []
         self._lives = itertools.count()
-        self._tasks: list[asyncio.Future[None]] = []
+        self._started: list[MemorySidecar] = []
         self._route = Route(
             'boards', 'host', '/b/', Repeat.UNSAFE, 4000, 500, 1, (Target(SERVICE, 1),)
         )
@@ -211,7 +207,9 @@
     async def _start(self, routers: int, servers: int) -> None:
         self._servers = EndingServers(self._store, self._clock, servers)
         for number, address in enumerate(self._sidecars):
-            await self._start_sidecar(f's{number}', address)
+            sidecar = MemorySidecar(f's{number}', address, self._net, self._store)
+            await sidecar.start()
+            self._started.append(sidecar)
         for number in range(routers):
             self._enter(f'10.0.0.{number}:1')
         await anyio.sleep(START_S)
@@ -230,16 +228,6 @@
             self._routers.append(router)
             self._runners.append(runner)
 
-    async def _start_sidecar(self, name: str, address: str) -> None:
-        polls = SharedPolls(self._store, self._clock)
-        handlers = Handlers()
-        answer_store(handlers, polls, self._clock)
-        Board(self._clock, name).register(handlers)
-        self._net.serve(address, handlers)
-        self._tasks.append(asyncio.ensure_future(polls.run()))
-        own = Instance(SIDECAR, name, address, 'porto-a')
-        await Entry(self._store, self._clock, own, lease_s=90).keep()
-
     async def _lapse(self) -> None:
         for stored in await self._store.list(WRITTEN, self._clock.now_s() + 1):
             if not stored.key.startswith(ENTRIES):
--- a/features/subjects/leaving_servers.py
+++ b/features/subjects/leaving_servers.py
@@ -1,6 +1,5 @@
 """Subject: routers of one data centre, servers that leave, and news of it that comes late."""
 
-import asyncio
 from typing import Any
 
 import anyio
@@ -8,17 +7,15 @@
 
 from endivesaddle.fleet.clock import LoopClock, left_s
 from endivesaddle.fleet.errors import StoreUnreachable
-from endivesaddle.fleet.ports import Handlers, Stored
+from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.routes.declared import Declared, RouteAccount, RouteServer
 from endivesaddle.fleet.routes.following import Follower
 from endivesaddle.fleet.routes.known import Contact, Known
-from endivesaddle.fleet.routes.remote_store import answer_store
-from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
-from endivesaddle.fleet.routes.shared_polls import SharedPolls
 from endivesaddle.stand_ins.memory_peers import MemoryNet
 from endivesaddle.stand_ins.memory_store import MemoryStore
 from subjects.cut_router import CutRouter
 from subjects.links_loop import ScenarioLoop
+from subjects.memory_sidecar import MemorySidecar
 
 SERVERS = 'servers/'
 SERVICE = 'engines'
@@ -82,7 +79,7 @@
         self._net = MemoryNet(self._clock)
         self._links: list[TimedStore] = []
         self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
-        self._tasks: list[asyncio.Future[None]] = []
+        self._started: list[MemorySidecar] = []
         self.routers: list[CutRouter] = []
         self._loop.run(self._start, routers, servers)
 
@@ -119,7 +116,9 @@
         for number in range(servers):
             await self._enter(number, False)
         for number, address in enumerate(self._sidecars):
-            await self._start_sidecar(f's{number}', address)
+            sidecar = MemorySidecar(f's{number}', address, self._net, self._store)
+            await sidecar.start()
+            self._started.append(sidecar)
         for number in range(routers):
             link = TimedStore(self._store, self._clock)
             router = CutRouter(f'router-{number}', f'10.0.0.{number}:1', self._net, link, Entries())
@@ -128,15 +127,6 @@
             router.start(ACCOUNT)
         await anyio.sleep(START_S)
 
-    async def _start_sidecar(self, name: str, address: str) -> None:
-        polls = SharedPolls(self._store, self._clock)
-        handlers = Handlers()
-        answer_store(handlers, polls, self._clock)
-        self._net.serve(address, handlers)
-        self._tasks.append(asyncio.ensure_future(polls.run()))
-        own = Instance(SIDECAR, name, address, 'porto-a')
-        await Entry(self._store, self._clock, own, lease_s=90).keep()
-
     async def _silence(self, router: int) -> None:
         # Any change of an entry is told to all at once.
         self._store.put(f'{SERVERS}other', b'{}')
--- /dev/null
+++ b/features/subjects/memory_sidecar.py
@@ -0,0 +1,35 @@
+"""A sidecar of a test fleet: store calls and polls for routers, and a board."""
+
+import asyncio
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.board import Board
+from endivesaddle.fleet.routes.remote_store import answer_store
+from endivesaddle.fleet.routes.roster import SIDECAR, SIDECAR_LEASE_S, Entry, Instance
+from endivesaddle.fleet.routes.shared_polls import SharedPolls
+from endivesaddle.stand_ins.memory_peers import MemoryNet
+from endivesaddle.stand_ins.memory_store import MemoryStore
+
+
+class MemorySidecar:
+    """One life of a sidecar, reached at ``address``."""
+
+    def __init__(self, name: str, address: str, net: MemoryNet, store: MemoryStore) -> None:
+        """Build its parts."""
+        self._clock = LoopClock()
+        self._name = name
+        self._address = address
+        self._net = net
+        self._store = store
+        self._polls = SharedPolls(store, self._clock)
+
+    async def start(self) -> None:
+        """Serve, and enter it into the store."""
+        handlers = Handlers()
+        answer_store(handlers, self._polls, self._clock)
+        Board(self._clock, self._name).register(handlers)
+        self._net.serve(self._address, handlers)
+        self._polling = asyncio.ensure_future(self._polls.run())
+        own = Instance(SIDECAR, self._name, self._address, 'porto-a')
+        await Entry(self._store, self._clock, own, SIDECAR_LEASE_S).keep()
--- a/features/subjects/saying_servers.py
+++ b/features/subjects/saying_servers.py
@@ -10,21 +10,17 @@
 from endivesaddle.backend_servers.kept_links import KeptLinks
 from endivesaddle.backend_servers.server_connection import ServerConnection
 from endivesaddle.fleet.clock import LoopClock
-from endivesaddle.fleet.ports import Handlers
-from endivesaddle.fleet.routes.board import Board
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
 from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
-from endivesaddle.fleet.routes.remote_store import answer_store
-from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance
 from endivesaddle.fleet.routes.running import Runner
-from endivesaddle.fleet.routes.shared_polls import SharedPolls
 from endivesaddle.stand_ins.memory_peers import MemoryNet
 from endivesaddle.stand_ins.memory_store import MemoryStore
 from subjects.cut_router import CutRouter
 from subjects.forward_runs import RecordingSink
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
 from subjects.links_loop import ScenarioLoop
+from subjects.memory_sidecar import MemorySidecar
 
 START_S = 3.0
 PAUSE_S = 0.1
@@ -104,7 +100,7 @@
         self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
         self._routers: list[CutRouter] = []
         self._runners: list[Runner] = []
-        self._tasks: list[asyncio.Future[None]] = []
+        self._started: list[MemorySidecar] = []
         self._ids = itertools.count()
         self.servers = [SayingServer() for _ in range(servers)]
         self.sinks: list[RecordingSink] = []
@@ -155,7 +151,9 @@
         for entered, _ in enumerate(self.servers):
             await self._enter(entered, 0)
         for number, address in enumerate(self._sidecars):
-            await self._start_sidecar(f's{number}', address)
+            sidecar = MemorySidecar(f's{number}', address, self._net, self._store)
+            await sidecar.start()
+            self._started.append(sidecar)
         for number in range(routers):
             self._start_router(number)
         await anyio.sleep(START_S)
@@ -175,16 +173,6 @@
         self._routers.append(router)
         self._runners.append(Runner(router.dispatcher, router.wallet, links, self._clock))
 
-    async def _start_sidecar(self, name: str, address: str) -> None:
-        polls = SharedPolls(self._store, self._clock)
-        handlers = Handlers()
-        answer_store(handlers, polls, self._clock)
-        Board(self._clock, name).register(handlers)
-        self._net.serve(address, handlers)
-        self._tasks.append(asyncio.ensure_future(polls.run()))
-        own = Instance(SIDECAR, name, address, 'porto-a')
-        await Entry(self._store, self._clock, own, lease_s=90).keep()
-
     async def _enter(self, number: int, born_unix_ms: int) -> None:
         address = f'10.0.2.{number}:1'
         server = RouteServer(
--- a/features/subjects/slow_connections.py
+++ b/features/subjects/slow_connections.py
@@ -9,6 +9,7 @@
 from endivesaddle.backend_servers.server_connection import ServerConnection
 from endivesaddle.fleet.clock import LoopClock
 from endivesaddle.fleet.routes.dialect import Dialect
+from endivesaddle.fleet.routes.running import Runner
 from subjects.forward_runs import ForwardRuns
 
 ANSWER = (
@@ -63,9 +64,10 @@
         """Connect in ``connect_s``."""
         self.network = SlowNetwork(connect_s)
         self.runs = ForwardRuns('unsafe', 1, [])
-        self.runs.runner.links = ForwardLinks(
-            KeptLinks(self.network.connect), Dialect(), LoopClock()
-        )
+        clock = LoopClock()
+        links = ForwardLinks(KeptLinks(self.network.connect), Dialect(), clock)
+        dispatcher = self.runs.runner.parts.dispatcher
+        self.runs.runner = Runner(dispatcher, self.runs.wallet, links, clock)
         self.left = ''
 
     def close(self) -> None:
