--- a/features/server_connections.feature
+++ b/features/server_connections.feature
@@ -62,3 +62,11 @@
     Given a server whose answers are: silence
     When it is sent a request that is given up
     Then the server saw its connection closed
+
+  Scenario: A server whose process has ended is told from one that goes on
+    Both may break a connection; what was sent there counts against a request in the first case alone.
+    Given a server whose answers are: whole, whole
+    When it is looked at, sent a request for each, ended, and looked at again
+    Then it listened before and refused after
+    And the router got: body, body
+    And 1 connections were opened
--- a/features/steps/server_connections_steps.py
+++ b/features/steps/server_connections_steps.py
@@ -60,3 +60,15 @@
 def closed(context: Any) -> None:
     """The step before ended only with that."""
     assert context.server.bodies
+
+
+@when('it is looked at, sent a request for each, ended, and looked at again')
+def look(context: Any) -> None:
+    """Look before and after."""
+    context.server.look()
+
+
+@then('it listened before and refused after')
+def looked(context: Any) -> None:
+    """Compare what was seen."""
+    assert context.server.looks == ['listens', 'refuses'], context.server.looks
--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -130,6 +130,14 @@
     assert declared.limits.header_bytes == 999
 
 
+@then('a worker says "{leaving}" and "{again}", and no client says the first for it')
+def worker_headers(context: Any, leaving: str, again: str) -> None:
+    """Compare the names of the dialect."""
+    dialect = users_platform.dialect()
+    assert (dialect.leaving, dialect.retry_after) == (leaving, again)
+    assert leaving in dialect.reserved
+
+
 @then("the settings file becomes the product's settings")
 def node(context: Any) -> None:
     """Compare some fields."""
--- a/features/subjects/server_connections.py
+++ b/features/subjects/server_connections.py
@@ -14,7 +14,7 @@
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
 from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerCall
-from endivesaddle.fleet.seams import NeverSent, ServerLost
+from endivesaddle.fleet.seams import NeverSent, ServerLost, ServerRefused
 
 GUARD_S = 20
 TARGET = '/b/%C3%A4;x=1//y?q=%2F&r'
@@ -165,6 +165,7 @@
         self.bodies: list[bytes] = []
         self.opened_count = 0
         self.gone_before_answer = False
+        self.looks: list[str] = []
         self._scripts = scripts
         self._left = anyio.Event()
 
@@ -172,10 +173,28 @@
         """Send one request for each script."""
         anyio.run(self._play, self._each, body)
 
+    def look(self) -> None:
+        """Look whether the server listens, send the requests, and look again when it ended."""
+        anyio.run(self._look)
+
     def leave(self) -> None:
         """Send a request that nobody answers, and give it up."""
         anyio.run(self._play, self._given_up, SMALL)
 
+    async def _look(self) -> None:
+        links = ForwardLinks(KeptLinks(), Dialect(), SteadyClock())
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        address = f'{host}:{port}'
+        call = _call(0, address, SMALL)
+        self.looks.append(await _seen(links, call.server))
+        for number, _ in enumerate(self._scripts):
+            self.outcomes.append(await self._sent(links, _call(number, address, SMALL)))
+        self.opened_count = links.links.opened_count
+        server.close()
+        await server.wait_closed()
+        self.looks.append(await _seen(links, call.server))
+
     async def _play(self, play: Callable[[str, bytes], Awaitable[None]], body: bytes) -> None:
         with anyio.fail_after(GUARD_S):
             server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -230,6 +249,15 @@
             writer.close()
 
 
+async def _seen(links: ForwardLinks, server: RouteServer) -> str:
+    """Look at a server as a router does after a run that broke."""
+    try:
+        await links.check(server)
+    except ServerRefused:
+        return 'refuses'
+    return 'listens'
+
+
 async def _turns() -> None:
     """Let what lies in the sockets of this process be read."""
     for _ in range(TURNS):
--- a/features/subjects/users_platform.py
+++ b/features/subjects/users_platform.py
@@ -15,6 +15,7 @@
 from endivesaddle.fleet.clock import LoopClock
 from endivesaddle.fleet.errors import FleetError, UserError
 from endivesaddle.fleet.routes.declared import Repeat, RouteServer
+from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.following import Follower
 from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.stand_ins.etcd_transport import AsgiTransport
@@ -173,6 +174,12 @@
         self.memory.fail(down)
 
 
+def dialect() -> Dialect:
+    """Return the platform's names of headers."""
+    names: Dialect = module('headers').DIALECT
+    return names
+
+
 def read_node(text: str, role: str = 'router') -> Any:
     """Read a settings file for a role; return the settings and the store, or the error's text."""
     node_file = module('node_file')
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -20,6 +20,10 @@
     Then the settings file becomes the product's settings
     And a settings file without "bounds" is refused and named
 
+  Scenario: The headers of workers
+    A word of theirs under another name than the router reads is never heard.
+    Then a worker says "server-leaving" and "retry-after", and no client says the first for it
+
   Scenario: The store's calls
     Given a router that follows the users' store
     Then a key is read, written under its version, and refused under another
--- a/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
@@ -17,8 +17,8 @@
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.seams import NeverSent, ServerRefused
 
-CHECK_S = 0.1
-"""A server's machine refuses a connection within milliseconds."""
+CHECK_S = 0.25
+"""A refused connection takes one way there and back, also between regions."""
 PENDING_S = 8.0
 """The entry of a server that ended without a word is gone from the store well within this."""
 MOST_PENDING = 512
