Reproduce a harmless request that is held back after servers ended together, failing

Found by reading the mend: copies of one request are under way at several servers that lose power at once, and each counts as an end.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -117,3 +117,17 @@
     Given records of a request that ended 3 servers, which hold it for 600 seconds
     When 2000 other requests are lost with a server each
     Then it is still held back, and at most 256 records are kept
+
+  Scenario: Servers that all end at once have ended for another reason
+    Many callers ask for the same, so that it is under way at four servers as these lose power
+    together. Taken for the cause, it was refused for ten minutes.
+    Given 3 routers and 8 servers that may be ended by a request
+    When a harmless request runs 12 times at once, and all servers that run it end together
+    And 4 seconds go by in the fleet
+    Then the harmless request is answered
+
+  Scenario: What comes three at a time is held back after the second time
+    Some servers end together then, but it ended others before.
+    Given 3 routers and 9 servers that may be ended by a request
+    When the request comes 5 times, each 3.5 seconds, at all routers at once
+    Then at most 3 of them reach a server later than 3 seconds after the third end
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -64,6 +64,18 @@
     context.fleet.lapse()
 
 
+@when('the request comes {times:d} times, each {seconds:g} seconds, at all routers at once')
+def come_at_once(context: Any, times: int, seconds: float) -> None:
+    """Send it to all, and wait."""
+    context.fleet.come_at_once(times, seconds)
+
+
+@when('a harmless request runs {times:d} times at once, and all servers that run it end together')
+def end_together(context: Any, times: int) -> None:
+    """Send it, and end the servers."""
+    assert context.fleet.end_together(times) >= 3
+
+
 @when('router {router:d} starts again')
 def start_again(context: Any, router: int) -> None:
     """Kill it and start its next life."""
--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -180,6 +180,15 @@
         """Have the fatal request come again and again."""
         self._loop.run(self._come, times, pause_s, first_router, step)
 
+    def come_at_once(self, times: int, pause_s: float) -> None:
+        """Have the fatal request come at all routers at once, again and again."""
+        self._loop.run(self._come_at_once, times, pause_s)
+
+    def end_together(self, times: int) -> int:
+        """End all servers that run a harmless request; return how many these are."""
+        ended: int = self._loop.run(self._end_together, times)
+        return ended
+
     def lose_harmless(self) -> None:
         """Run a harmless request at a server that ends, then once more at one that does not."""
         self._loop.run(self._lose_harmless)
@@ -251,6 +260,23 @@
             self.sinks.append(await self._carry(router, FATAL))
             await anyio.sleep(pause_s)
 
+    async def _come_at_once(self, times: int, pause_s: float) -> None:
+        for _ in range(times):
+            coming = [self._carry(router, FATAL) for router, _ in enumerate(self._runners)]
+            self.sinks.extend(await asyncio.gather(*coming))
+            await anyio.sleep(pause_s)
+
+    async def _end_together(self, times: int) -> int:
+        coming = [self._carry(number % len(self._runners), HARMLESS) for number in range(times)]
+        under_way = asyncio.gather(*coming)
+        await anyio.sleep(RUN_S / 2)
+        lanes = [lane for router in self._routers for lane in router.dispatcher.lanes.all()]
+        running = {lane.server.lifetime for lane in lanes if lane.own_in_flight}
+        for lifetime in running:
+            self._servers.end(lifetime)
+        assert {sink.status for sink in await under_way} == {502}
+        return len(running)
+
     async def _lose_harmless(self) -> None:
         lost = asyncio.ensure_future(self._carry(0, HARMLESS))
         await anyio.sleep(RUN_S / 2)
