Tell the end of a server whose address stays open by its next life

Where a connection was taken right after a run broke, the server was believed to go on, and a request that ends servers was sent on for ever at deployments whose processes are started behind an open address.

With it, one base for the test fleets that were written beside each other.

--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -31,7 +31,7 @@
     """Leave the store as it is, or take it away."""
     assert how in {'well', 'away'}
     if how == 'away':
-        context.fleet.lose_store()
+        context.fleet.lose_store(True)
 
 
 @when('{seconds:g} seconds go by in the fleet')
--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -15,13 +15,11 @@
 from endivesaddle.fleet.routes.roster import PREFIX as ENTRIES
 from endivesaddle.fleet.routes.running import Runner
 from endivesaddle.fleet.seams import ServerLost, ServerRefused
-from endivesaddle.stand_ins.memory_peers import MemoryNet
 from endivesaddle.stand_ins.memory_store import MemoryStore
 from subjects.cut_router import CutRouter
 from subjects.forward_runs import RecordingSink, ScriptedAnswer
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
-from subjects.links_loop import ScenarioLoop
-from subjects.memory_sidecar import MemorySidecar
+from subjects.router_fleet import RouterFleet
 
 START_S = 3.0
 RUN_S = 0.05
@@ -127,20 +125,14 @@
         self._store.put(f'{SERVERS}{lifetime}', msgspec.json.encode(server))
 
 
-class CrashingFleet:
+class CrashingFleet(RouterFleet):
     """Routers that forward to such servers; each call runs on one loop in virtual time."""
 
     def __init__(self, routers: int, servers: int, sidecars: int = 0) -> None:
         """Start them, and let them find each other."""
-        self._loop = ScenarioLoop()
-        self._clock = LoopClock()
-        self._store = MemoryStore(self._clock)
-        self._net = MemoryNet(self._clock)
-        self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
-        self._routers: list[CutRouter] = []
+        super().__init__(sidecars)
         self._runners: list[Runner] = []
         self._lives = itertools.count()
-        self._started: list[MemorySidecar] = []
         self._route = Route(
             'boards', 'host', '/b/', Repeat.UNSAFE, 4000, 500, 1, (Target(SERVICE, 1),)
         )
@@ -152,18 +144,6 @@
         """The servers."""
         return self._servers
 
-    def close(self) -> None:
-        """End the loop."""
-        self._loop.close()
-
-    def sleep(self, seconds: float) -> None:
-        """Let time pass."""
-        self._loop.run(anyio.sleep, seconds)
-
-    def lose_store(self) -> None:
-        """Take the store away from all."""
-        self._store.fail(True)
-
     def lapse(self) -> None:
         """Remove what routers wrote into the store, but for their own entries."""
         self._loop.run(self._lapse)
@@ -219,10 +199,7 @@
 
     async def _start(self, routers: int, servers: int) -> None:
         self._servers = EndingServers(self._store, self._clock, servers)
-        for number, address in enumerate(self._sidecars):
-            sidecar = MemorySidecar(f's{number}', address, self._net, self._store)
-            await sidecar.start()
-            self._started.append(sidecar)
+        await self._start_sidecars()
         for number in range(routers):
             self._enter(f'10.0.0.{number}:1')
         await anyio.sleep(START_S)
--- a/features/subjects/saying_servers.py
+++ b/features/subjects/saying_servers.py
@@ -9,18 +9,14 @@
 from endivesaddle.backend_servers.forward_calls import ForwardLinks
 from endivesaddle.backend_servers.kept_links import KeptLinks
 from endivesaddle.backend_servers.server_connection import ServerConnection
-from endivesaddle.fleet.clock import LoopClock
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
 from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.running import Runner
-from endivesaddle.stand_ins.memory_peers import MemoryNet
-from endivesaddle.stand_ins.memory_store import MemoryStore
 from subjects.cut_router import CutRouter
 from subjects.forward_runs import RecordingSink
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
-from subjects.links_loop import ScenarioLoop
-from subjects.memory_sidecar import MemorySidecar
+from subjects.router_fleet import RouterFleet
 
 START_S = 3.0
 PAUSE_S = 0.1
@@ -88,36 +84,18 @@
         """Stay open."""
 
 
-class SayingServers:
+class SayingServers(RouterFleet):
     """Routers before such servers; each call runs on one loop in virtual time."""
 
     def __init__(self, routers: int, servers: int, sidecars: int = 0) -> None:
         """Start them, and let them find each other."""
-        self._loop = ScenarioLoop()
-        self._clock = LoopClock()
-        self._store = MemoryStore(self._clock)
-        self._net = MemoryNet(self._clock)
-        self._sidecars = [f'10.0.1.{number}:1' for number in range(sidecars)]
-        self._routers: list[CutRouter] = []
+        super().__init__(sidecars)
         self._runners: list[Runner] = []
-        self._started: list[MemorySidecar] = []
         self._ids = itertools.count()
         self.servers = [SayingServer() for _ in range(servers)]
         self.sinks: list[RecordingSink] = []
         self._loop.run(self._start, routers)
 
-    def close(self) -> None:
-        """End the loop."""
-        self._loop.close()
-
-    def sleep(self, seconds: float) -> None:
-        """Let time pass."""
-        self._loop.run(anyio.sleep, seconds)
-
-    def lose_store(self, lost: bool) -> None:
-        """Take the store away from all, or bring it back."""
-        self._store.fail(lost)
-
     def enter(self, server: int, born_unix_ms: int = 0) -> None:
         """Write a server's entry, as one that takes requests."""
         self._loop.run(self._enter, server, born_unix_ms)
@@ -150,10 +128,7 @@
     async def _start(self, routers: int) -> None:
         for entered, _ in enumerate(self.servers):
             await self._enter(entered, 0)
-        for number, address in enumerate(self._sidecars):
-            sidecar = MemorySidecar(f's{number}', address, self._net, self._store)
-            await sidecar.start()
-            self._started.append(sidecar)
+        await self._start_sidecars()
         for number in range(routers):
             self._start_router(number)
         await anyio.sleep(START_S)
--- a/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/crash_watch.py
@@ -1,7 +1,9 @@
 """Find out, for each run that broke, whether the process of its server ended.
 
 A broken connection alone says nothing: answers are lost and connections cut while servers go on.
-A server that refuses connections right after, or whose entry is gone soon after, has ended.
+A server has ended that refuses connections right after, or whose entry is gone soon after; where
+connections are taken, only its next life at the same address tells, as what starts a process again
+may hold its address open.
 """
 
 from collections import deque
@@ -26,12 +28,16 @@
 
 
 class BrokenRun(NamedTuple):
-    """A run without an answer, of which it is not known yet whether its server ended."""
+    """A run without an answer, of which it is not known yet whether its server ended.
+
+    ``listens`` tells that connections to the server were taken after it.
+    """
 
     digest: str
     server: RouteServer
     run: EndedRun
     until_unix_s: float
+    listens: bool = False
 
 
 class CrashWatch:
@@ -60,7 +66,7 @@
             listens = await self._listens(server)
             events.BROKEN.log(digest=digest, server=server.lifetime, listens=listens)
         if listens:
-            self._drop(server)
+            self._listened(server)
         elif listens is False:
             self._ended.append(server.life)
         self._look()
@@ -91,10 +97,11 @@
             return True
         return None
 
-    def _drop(self, server: RouteServer) -> None:
-        """Forget runs that broke at a server that goes on."""
-        kept = [run for run in self._pending if run.server.life != server.life]
-        self._pending = deque(kept, maxlen=MOST_PENDING)
+    def _listened(self, server: RouteServer) -> None:
+        """Note of runs that broke at a server that connections to it are taken."""
+        for index, broken in enumerate(self._pending):
+            if broken.server.life == server.life:
+                self._pending[index] = broken._replace(listens=True)
 
     def _look(self) -> None:
         """Note the runs whose servers are known to have ended by now."""
@@ -104,8 +111,17 @@
         pending = [broken for broken in self._pending if broken.until_unix_s > now_unix_s]
         self._pending = deque(maxlen=MOST_PENDING)
         for broken in pending:
-            server = broken.server
-            if server.life in self._ended or not self._known.lists(server):
-                self._records.ended(broken.digest, server.life, broken.run, now_unix_s)
+            if self._has_ended(broken):
+                life = broken.server.life
+                self._records.ended(broken.digest, life, broken.run, now_unix_s)
             else:
                 self._pending.append(broken)
+
+    def _has_ended(self, broken: BrokenRun) -> bool:
+        """Tell whether the server of a run is known to have ended.
+
+        One that takes connections may go on without an entry: these lapse while the store is down.
+        """
+        if broken.listens:
+            return self._known.replaced(broken.server)
+        return broken.server.life in self._ended or not self._known.lists(broken.server)
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -97,6 +97,13 @@
         known = self.servers.get(server.lifetime)
         return known is not None and known.life == server.life
 
+    def replaced(self, server: RouteServer) -> bool:
+        """Tell whether another life of a server has its address."""
+        return any(
+            one.address == server.address and one.life != server.life
+            for one in self.servers.values()
+        )
+
     def takes(self, server: RouteServer) -> bool:
         """Tell whether this life of a server may be sent requests."""
         return self.lists(server) and not self.servers[server.lifetime].leaving
--- a/packages/fleet/src/endivesaddle/fleet/routes/left_servers.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/left_servers.py
@@ -47,4 +47,6 @@
 
     def since(self, number: int) -> list[LeftLife]:
         """Return the lives that came after the first ``number``, the oldest first."""
+        if number == self.count:
+            return []
         return [life for life, count in self._lives.items() if count > number]
--- a/packages/fleet/src/endivesaddle/fleet/routing/crash_records.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/crash_records.py
@@ -124,6 +124,8 @@
 
     def since(self, number: int, most: int) -> list[CrashRecord]:
         """Return the first ``most`` records that changed after a number, the oldest first."""
+        if number == self.number:
+            return []
         return [record for record in self._records.values() if record.number > number][:most]
 
     def dump(self, now_unix_s: float) -> dict[str, dict[str, Any]]:
