--- a/packages/fleet/src/endivesaddle/fleet/routing/crash_records.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/crash_records.py
@@ -19,9 +19,13 @@
 """Far more than run at one server when it ends; the oldest yield."""
 LEAST_MOMENTS = 2
 """Servers that end at one moment may have another cause, as when they lose power together."""
-HERE = 'here'
 MOST_LIVES = 32
 """Lives of servers in one record; beyond these what was answered is left out."""
+MOST_DOUBLINGS = 10
+FORGET_S = 1.0
+"""Between looks for records that are old: each passes over all of them."""
+HERE = 'here'
+"""The source of what this instance noted itself."""
 
 
 class EndedRun(NamedTuple):
@@ -86,6 +90,7 @@
         self.listeners: list[Callable[[str], None]] = []
         self._settings = settings
         self._records: dict[str, CrashRecord] = {}
+        self._look_unix_s = 0.0
 
     def __len__(self) -> int:
         """Count the records; most of the time there are none."""
@@ -178,7 +183,8 @@
         held_until_unix_s = 0.0
         tries = record.tries
         if self._fatal(record):
-            held_until_unix_s = record.held_until_unix_s
+            # Bounded, as the store may hold what another writer left there.
+            held_until_unix_s = min(record.held_until_unix_s, now_unix_s + LONGEST_HELD_S)
             if held_until_unix_s <= now_unix_s:
                 tries += self._fatal(known)
                 held_until_unix_s = now_unix_s + self._hold_s(tries)
@@ -193,9 +199,13 @@
         return len(record.lives) >= most and record.moments >= min(most, LEAST_MOMENTS)
 
     def _hold_s(self, tries: int) -> float:
-        return min(LONGEST_HELD_S, self._settings.crash_held_s * 2**tries)
+        doublings = min(tries, MOST_DOUBLINGS)
+        return min(LONGEST_HELD_S, self._settings.crash_held_s * 2**doublings)
 
     def _forget(self, now_unix_s: float) -> None:
+        if now_unix_s < self._look_unix_s:
+            return
+        self._look_unix_s = now_unix_s + FORGET_S
         for digest, record in list(self._records.items()):
             if record.kept_until_unix_s < now_unix_s:
                 del self._records[digest]
@@ -223,6 +233,10 @@
     return run.broke_unix_s
 
 
+def _ends(record: CrashRecord) -> int:
+    return len(record.lives)
+
+
 def _joined(known: dict[str, EndedRun], told: dict[str, EndedRun]) -> dict[str, EndedRun]:
     joined = dict(known)
     for life, run in told.items():
@@ -231,5 +245,10 @@
 
 
 def _least(records: Iterable[CrashRecord]) -> CrashRecord:
-    """Return the record that may be forgotten first: of few ends, and changed long ago."""
-    return min(records, key=lambda record: (len(record.lives), record.number))
+    """Return the record that may be forgotten first: of few ends, and changed long ago.
+
+    Records stand in the order of their changes. Mostly the first one has a single end: when many
+    servers end at once, thousands of records come in, and no pass over all of them is made.
+    """
+    first = next(iter(records))
+    return first if _ends(first) <= 1 else min(records, key=_ends)
