--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -5,8 +5,8 @@
 
   Scenario Outline: It goes to no more servers once it has ended three
     Nobody remembered a request beyond its end.  Each attempt had another id, so that nothing told
-    that it was the same; a broken run counted against its server alone.  In logs of such a day one
-    request ended nine engines in 13 s, and the 13 others at the last of them were lost with it:
+    that it was the same; a broken run counted against its server alone. Nine engines had ended under
+    one request as it was reported; 13 requests were lost at one of them, this one among them:
     "forward_sending_failed server=i-ede7ad9427 outcome=lost reason=the connection closed".
     Given <routers> routers and <servers> servers that may be ended by a request
     When the routers find the store <store>
--- a/features/word_of_leaving.feature
+++ b/features/word_of_leaving.feature
@@ -4,7 +4,7 @@
 
   Scenario Outline: A server that says in an answer that it leaves gets no more requests
     The store was down from 7 s to 20 s, so that no entry told of it.  The answer's word went to the
-    caller with the other headers, and no router read it: 13 requests more reached the server.
+    caller with the other headers, and no router read it: routers went on to place requests there.
     Given 3 routers and 4 servers that answer over connections
     When the store is down for all of them
     And server 0 leaves, and says so in answers with status <status>
