--- /dev/null
+++ b/features/cold_servers.feature
@@ -0,0 +1,40 @@
+Feature: Servers that are cold after their start
+  A server that has just started bears few requests a second, of all routers together, and ends
+  under more.
+
+  Scenario Outline: Routers together send a cold server no more than it bears
+    It had nothing under way, so that all routers preferred it: it got 31 requests in one second.
+    Given <routers> routers and 6 servers in three data centres
+    When server 0 writes that it is cold for 3 seconds
+    And 300 requests a second come at all routers for 2 seconds
+    Then server 0 got at most 16 requests in any second
+    And each of them was answered by another server
+
+    Examples:
+      | routers |
+      | 3       |
+      | 21      |
+
+  Scenario: A data centre that is taken back gets few requests until its servers say more
+    Its servers may have started while it was evacuated, and their entries are seconds old.
+    Given 3 routers and 6 servers in three data centres
+    When data centre porto-b is evacuated
+    And 2 seconds go by for them
+    And data centre porto-b is taken back
+    And 300 requests a second come at all routers for 2 seconds
+    Then servers of porto-b got at most 16 requests each in any second
+    And each of them was answered by another server
+
+  Scenario: A server that was silent gets few requests at first
+    It may have started anew under its name, and its entry is of before.
+    Given 3 routers and 6 servers in three data centres
+    When server 0 refuses connections for 2 seconds, while requests come
+    And 300 requests a second come at all routers for 2 seconds
+    Then server 0 got at most 16 requests in any second
+
+  Scenario: Callers are told when nothing but cold servers is left
+    Given 3 routers and 1 servers in three data centres
+    When server 0 writes that it is cold for 3 seconds
+    And 300 requests a second come at all routers for 1 seconds
+    Then server 0 got at most 16 requests in any second
+    And those that were refused were told to come back in 0.1 to 4 seconds
--- /dev/null
+++ b/features/subjects/evacuated_fleet.py
@@ -0,0 +1,166 @@
+"""Subject: routers before servers of three data centres, some evacuated, some just started."""
+
+import itertools
+from typing import Any
+
+import anyio
+import msgspec
+
+from endivesaddle.backend_servers.forward_calls import ForwardLinks
+from endivesaddle.backend_servers.kept_links import KeptLinks
+from endivesaddle.backend_servers.server_connection import ServerConnection
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.routes.dialect import Dialect
+from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.fleet.seams import ServerRefused
+from subjects.cut_router import CutRouter
+from subjects.forward_runs import RecordingSink
+from subjects.leaving_servers import SERVERS, SERVICE
+from subjects.saying_servers import ACCOUNT, SayingServer, SayingServers
+from subjects.users_platform import module
+
+DATA_CENTRES = ('porto-a', 'porto-b', 'porto-c')
+CONFIG = 'op/config'
+EVACUATED = 'op/evacuate/'
+START_S = 3.0
+WINDOW_S = 1.0
+
+
+class TimedServer(SayingServer):
+    """A server that notes when requests reach it."""
+
+    def __init__(self, clock: LoopClock) -> None:
+        """Start without requests."""
+        super().__init__()
+        self.refuses = False
+        self.came_unix_s: list[float] = []
+        self._clock = clock
+
+    def answer(self, request: bytes) -> bytes:
+        """Take a request and return the bytes of its answer."""
+        self.came_unix_s.append(self._clock.now_s())
+        return super().answer(request)
+
+    def busiest(self) -> int:
+        """Return the most requests that came within any second."""
+        return max(
+            (
+                sum(1 for later in self.came_unix_s if 0 <= later - first < WINDOW_S)
+                for first in self.came_unix_s
+            ),
+            default=0,
+        )
+
+
+class EvacuatedFleet(SayingServers):
+    """Server n lies in data centre n modulo 3; documents are the users' platform's."""
+
+    def __init__(self, routers: int, servers: int, sidecars: int = 0) -> None:
+        """Start with nothing evacuated."""
+        self._decoder = module('documents').PlatformDecoder()
+        super().__init__(routers, servers, sidecars)
+
+    def evacuate(self, data_centre: str, now: bool = True) -> None:
+        """Have the operator evacuate a data centre, or take it back."""
+        self._loop.run(self._evacuate, data_centre, now)
+
+    def start_router(self) -> int:
+        """Start one more router; return its number."""
+        number = len(self._routers)
+        self._loop.run(self._start_one, number)
+        return number
+
+    def cut(self, router: int) -> None:
+        """Cut a router off from the store."""
+        self._routers[router].cut.cut = True
+
+    def forget(self) -> None:
+        """Have the store drop its history."""
+        self._store.forget()
+
+    def ready(self, router: int) -> bool:
+        """Tell whether a router knows what it needs before it takes requests."""
+        known = self._routers[router].known
+        return known.book is not None and bool(known.servers)
+
+    def enter_cold(self, server: int, cold_s: float) -> None:
+        """Have a server write that it is cold for so long."""
+        self._loop.run(self._put, server, {'cold_left_ms': int(cold_s * 1000)})
+
+    def rush(self, per_s: float, seconds: float) -> None:
+        """Send requests to all routers in turn, many at a time."""
+        self._loop.run(self._rush, per_s, seconds)
+
+    def forget_requests(self) -> None:
+        """Count from here on."""
+        self._forget()
+        for server in self.servers:
+            server.came_unix_s.clear()
+
+    async def _start(self, routers: int) -> None:
+        self.servers = [TimedServer(self._clock) for _ in self.servers]
+        self._store.put(CONFIG, msgspec.json.encode(_config()))
+        await super()._start(routers)
+
+    def _start_router(self, number: int) -> None:
+        name = f'router-{number}'
+        router = CutRouter(name, f'10.0.0.{number}:1', self._net, self._store, self._decoder)
+        router.start(ACCOUNT)
+        links = ForwardLinks(KeptLinks(self._connect), Dialect(), self._clock)
+        self._routers.append(router)
+        self._runners.append(Runner(router.dispatcher, router.wallet, links, self._clock))
+
+    async def _start_one(self, number: int) -> None:
+        self._start_router(number)
+        await anyio.sleep(START_S)
+
+    async def _enter(self, number: int, born_unix_ms: int) -> None:
+        self._write(number, {'born': born_unix_ms})
+
+    async def _put(self, number: int, fields: dict[str, Any]) -> None:
+        self._write(number, fields)
+        await anyio.sleep(0.1)
+
+    def _write(self, number: int, fields: dict[str, Any]) -> None:
+        entry = {
+            'service': SERVICE,
+            'address': f'10.0.2.{number}:1',
+            'zone': DATA_CENTRES[number % len(DATA_CENTRES)],
+            'slots': 64,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            **fields,
+        }
+        self._store.put(f'{SERVERS}life-{number}', msgspec.json.encode(entry))
+
+    async def _evacuate(self, data_centre: str, now: bool) -> None:
+        key = f'{EVACUATED}{data_centre}'
+        if now:
+            self._store.put(key, b'{}')
+        else:
+            self._store.remove(key)
+
+    async def _connect(self, address: str) -> ServerConnection:
+        number = int(address.partition(':')[0].rpartition('.')[2])
+        if self.servers[number].refuses:
+            raise ServerRefused(address)
+        return await super()._connect(address)
+
+    async def _rush(self, per_s: float, seconds: float) -> None:
+        turn = itertools.cycle(self._runners)
+        async with anyio.create_task_group() as group:
+            for _ in range(int(per_s * seconds)):
+                group.start_soon(self._one, next(turn))
+                await anyio.sleep(1 / per_s)
+
+    async def _one(self, runner: Runner) -> None:
+        sink = RecordingSink()
+        await runner.serve(self._made(), sink)
+        self.sinks.append(sink)
+
+
+def _config() -> dict[str, Any]:
+    """Return declarations whose engines bear 16 requests a second while cold."""
+    engines = {'name': SERVICE, 'max_conns': 450, 'cold_s': 3.0, 'cold_per_s': 16.0}
+    account = {'name': ACCOUNT.name, 'api_keys': []}
+    return {'version': 2, 'routes': [], 'services': [engines], 'tenants': [account]}
