Send nothing to servers of evacuated data centres

It is a belief like the declarations: it lies beside them in the store, so that the poll of the declarations tells both without a further call; routers that the store does not answer hear it through sidecars and from other routers, by the store's version, so that a late word undoes nothing. It is read before a router is ready, and asked for where servers are chosen and right before a request is sent. With all data centres evacuated callers are told at once, as not run, to come back in 2 s.

Weighed: a third prefix with polls of its own, which costs each follower a call a second.

Facts that routers tell each other have a module of their own.

--- a/features/subjects/cut_router.py
+++ b/features/subjects/cut_router.py
@@ -29,6 +29,7 @@
 class NoDocuments:
     """A decoder that is never asked: these routers declare nothing in the store."""
 
+    declared_key = 'none/declared'
     declared_prefix = 'none/declared'
     servers_prefix = 'none/servers/'
 
@@ -36,7 +37,11 @@
         """Refuse."""
         raise ValueError(stored.key)
 
-    def server(self, stored: Stored) -> RouteServer:
+    def evacuated(self, key: str) -> str:
+        """Know of no evacuations."""
+        return ''
+
+    def server(self, stored: Stored, now_unix_s: float) -> RouteServer:
         """Refuse."""
         raise ValueError(stored.key)
 
--- a/features/subjects/leaving_servers.py
+++ b/features/subjects/leaving_servers.py
@@ -27,6 +27,7 @@
 class Entries:
     """Servers' entries as the product's own type in JSON; nothing is declared."""
 
+    declared_key = 'none/declared'
     declared_prefix = 'none/declared'
     servers_prefix = SERVERS
 
@@ -34,7 +35,11 @@
         """Refuse."""
         raise ValueError(stored.key)
 
-    def server(self, stored: Stored) -> RouteServer:
+    def evacuated(self, key: str) -> str:
+        """Know of no evacuations."""
+        return ''
+
+    def server(self, stored: Stored, now_unix_s: float) -> RouteServer:
         """Return a server's entry."""
         return msgspec.json.decode(stored.value or b'', type=RouteServer)
 
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -113,6 +113,7 @@
             'shares': parts.wallet.dump(),
             'grants': parts.keeper.dump(),
             'servers': parts.dispatcher.dump(),
+            'evacuated': sorted(known.evacuations.names),
             'crashes': parts.dispatcher.crashes.dump(self._clock.now_s()),
             'counters': {
                 'forward_open': self._app.open_count,
@@ -124,6 +125,7 @@
                 'servers_heard_age_seconds': parts.dispatcher.servers_heard_s(),
                 'late_seconds': self._lateness.worst_s(),
                 'sidecars_known': len(parts.roster.sidecars),
+                'evacuated_data_centres': len(known.evacuations.names),
                 'crash_records': len(parts.dispatcher.crashes),
                 'routers_known': len(parts.roster.others) + 1,
                 **parts.dispatcher.counts,
@@ -161,7 +163,7 @@
 
     def _ready(self) -> bool:
         known = self.parts.known
-        able = self.parts.wallet.ready() and bool(known.servers)
+        able = self.parts.wallet.ready() and bool(known.servers) and known.evacuations.heard
         return able and not self._stopping.leaving
 
     async def _stop(self) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/declarations.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/declarations.py
@@ -72,7 +72,7 @@
     def _declare(self, reply: routers_pb2.DeclarationsReply, address: str) -> None:
         if not reply.document:
             return
-        stored = Stored(self._decoder.declared_prefix, reply.document, 0)
+        stored = Stored(self._decoder.declared_key, reply.document, 0)
         try:
             declared = self._decoder.declared(stored)
         except ValueError as error:
--- a/packages/fleet/src/endivesaddle/fleet/routes/declared.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/declared.py
@@ -56,13 +56,17 @@
 
     ``max_connections`` is what one server takes from all routers together;
     ``event_tokens`` the most output tokens in one event of a stream, 0 for a
-    plain service; ``memory_tokens`` what one engine can hold.
+    plain service; ``memory_tokens`` what one engine can hold.  A server is cold for
+    ``cold_s`` after its start, and bears ``cold_per_s`` requests a second until then, of
+    all routers together; 0 for a service whose servers bear their load from the start.
     """
 
     name: str
     max_connections: int
     event_tokens: int = 0
     memory_tokens: int = 0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
     @property
     def engine(self) -> bool:
@@ -106,7 +110,8 @@
     """One life of a backend server.
 
     A server may start again under its name: ``lifetime`` and ``born_unix_ms`` tell its lives
-    apart, and the greater of the latter is the newer one.
+    apart, and the greater of the latter is the newer one.  ``cold_until_unix_s`` is 0 for a
+    server that does not say that it is cold.
     """
 
     lifetime: str
@@ -116,6 +121,7 @@
     slots: int
     leaving: bool = False
     born_unix_ms: int = 0
+    cold_until_unix_s: float = 0.0
 
     @property
     def life(self) -> str:
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -1,8 +1,8 @@
 """Follow the store: the declarations, and the entries of backend servers.
 
-One task for each prefix.  It lists, then takes changes by long polls that end within
-2 s (declarations) or 3 s (servers): a connection that went silent for good is noticed by
-the next poll.
+One task for each prefix; evacuations of data centres lie beside the declarations.  It lists,
+then takes changes by long polls that end within 2 s (declarations) or 3 s (servers): a
+connection that went silent for good is noticed by the next poll.
 """
 
 from collections.abc import Callable, Sequence
@@ -67,14 +67,18 @@
 class Decoder(Protocol):
     """How what lies in the store is read; raises ``ValueError`` where it can't be."""
 
+    declared_key: str
     declared_prefix: str
     servers_prefix: str
 
     def declared(self, stored: Stored) -> Declared | None:
         """Return the declarations, None where the key holds something else."""
 
-    def server(self, stored: Stored) -> RouteServer:
-        """Return a backend server's entry."""
+    def evacuated(self, key: str) -> str:
+        """Return the data centre that a key evacuates, '' where it is another key."""
+
+    def server(self, stored: Stored, now_unix_s: float) -> RouteServer:
+        """Return a backend server's entry, read now."""
 
     def lifetime(self, key: str) -> str:
         """Return the lifetime that a server's key names."""
@@ -100,8 +104,8 @@
                 self._follow,
                 self._decoder.declared_prefix,
                 POLL_S,
-                self._declare_all,
-                self._declare_all,
+                self._list_declared,
+                self._change_declared,
             )
             group.start_soon(
                 self._follow,
@@ -146,9 +150,26 @@
             version = changes.version
             changed(changes)
 
-    def _declare_all(self, changes: Changes) -> None:
+    def _list_declared(self, changes: Changes) -> None:
+        """Take in all that the operator wrote: a data centre that is not there is not evacuated."""
+        names = {self._decoder.evacuated(stored.key) for stored in changes.entries}
+        self._known.evacuations.replace(names - {''}, changes.version, self._clock.now_s(), 'store')
+        for stored in changes.entries:
+            if stored.key == self._decoder.declared_key and stored.value is not None:
+                self._declare(stored, stored.value)
+
+    def _change_declared(self, changes: Changes) -> None:
         for stored in changes.entries:
-            if stored.value is not None:
+            name = self._decoder.evacuated(stored.key)
+            if name:
+                self._known.evacuations.change(
+                    name,
+                    stored.value is not None,
+                    stored.version,
+                    self._clock.now_s(),
+                    'store',
+                )
+            elif stored.key == self._decoder.declared_key and stored.value is not None:
                 self._declare(stored, stored.value)
 
     def _declare(self, stored: Stored, document: bytes) -> None:
@@ -187,7 +208,8 @@
 
     def _server(self, stored: Stored) -> None:
         try:
-            self._known.server(self._decoder.server(stored), 'store')
+            server = self._decoder.server(stored, self._clock.now_s())
+            self._known.server(server, 'store', stored.version)
         except ValueError as error:
             # It names no server to use: another writer's, or what became of the entry of one.
             events.DOCUMENT_BAD.log(key=stored.key, version=stored.version, error=str(error))
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -6,6 +6,7 @@
 from endivesaddle.fleet.routes import events, store_events
 from endivesaddle.fleet.routes.book import RouteBook
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
+from endivesaddle.fleet.routes.evacuations import Evacuations
 from endivesaddle.fleet.routes.left_servers import LeftLife, LeftServers
 
 Listener = Callable[[], None]
@@ -27,8 +28,11 @@
         self.servers_version = 0
         self.servers_heard_unix_s = 0.0
         self.listeners: list[Listener] = []
+        self.evacuations = Evacuations()
+        self.evacuations.listeners.append(self._tell)
         self.left = LeftServers()
         self.left.listeners.append(self._said_it_leaves)
+        self._written: dict[str, int] = {}
         self._by_service: dict[str, tuple[RouteServer, ...]] = {}
 
     def declare(self, declared: Declared, document: bytes, source: str) -> bool:
@@ -47,13 +51,14 @@
         self.servers_version = max(self.servers_version, version)
         self.servers_heard_unix_s = now_unix_s
 
-    def server(self, server: RouteServer, source: str) -> None:
-        """Take in what a server said of itself."""
+    def server(self, server: RouteServer, source: str, version: int = 0) -> None:
+        """Take in what a server said of itself, in an entry of a version, 0 for unknown."""
         known = self.servers.get(server.lifetime)
         if known is not None and known.born_unix_ms > server.born_unix_ms:
             # News of a life that ended, under the name of the one that is there now.
             return
         self.missing.pop(server.lifetime, None)
+        self._written[server.lifetime] = version
         if self.left.said(LeftLife(server.lifetime, server.born_unix_ms)):
             # Its own word in an answer goes before an entry that was written earlier.
             server = server._replace(leaving=True)
@@ -72,6 +77,7 @@
     def withdrawn(self, lifetime: str, source: str) -> None:
         """Send a server nothing more: its entry is gone."""
         self.missing.pop(lifetime, None)
+        self._written.pop(lifetime, None)
         server = self.servers.pop(lifetime, None)
         if server is None:
             return
@@ -106,12 +112,27 @@
 
     def takes(self, server: RouteServer) -> bool:
         """Tell whether this life of a server may be sent requests."""
+        if server.data_centre in self.evacuations.names:
+            return False
         return self.lists(server) and not self.servers[server.lifetime].leaving
 
+    def cold_until_unix_s(self, server: RouteServer) -> float:
+        """Return until when a server is cold, by its entry or by its data centre's takeback."""
+        known = self.servers.get(server.lifetime, server)
+        service = self.book.services.get(server.service) if self.book else None
+        cold_s = service.cold_s if service else 0.0
+        version = self._written.get(server.lifetime, 0)
+        suspected_unix_s = self.evacuations.cold_until_unix_s(server.data_centre, version, cold_s)
+        return max(known.cold_until_unix_s, suspected_unix_s)
+
     def of_service(self, service: str) -> tuple[RouteServer, ...]:
-        """Return the servers of a service that are not leaving."""
+        """Return the servers of a service that are not leaving, in no evacuated data centre."""
         return self._by_service.get(service, ())
 
+    def evacuated(self, service: str) -> bool:
+        """Tell whether some servers of a service take requests, but for evacuations."""
+        return any(one.service == service and not one.leaving for one in self.servers.values())
+
     def _said_it_leaves(self, lifetime: str, source: str) -> None:
         known = self.servers.get(lifetime)
         if known is not None:
@@ -120,7 +141,7 @@
     def _tell(self) -> None:
         grouped: dict[str, list[RouteServer]] = {}
         for server in self.servers.values():
-            if not server.leaving:
+            if not server.leaving and server.data_centre not in self.evacuations.names:
                 grouped.setdefault(server.service, []).append(server)
         self._by_service = {name: tuple(members) for name, members in grouped.items()}
         for listener in self.listeners:
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -14,10 +14,10 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import FleetError
 from endivesaddle.fleet.ports import Handlers, Peers
-from endivesaddle.fleet.routes import events, sidecar_events
+from endivesaddle.fleet.routes import sidecar_events
 from endivesaddle.fleet.routes.avoided import Avoided
 from endivesaddle.fleet.routes.declarations import DeclarationsFetch
-from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routes.facts import Facts
 from endivesaddle.fleet.routes.following import Decoder
 from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.routes.news import News, Reader
@@ -45,8 +45,6 @@
 REPLY_S = 0.4
 QUIET_S = 1.0
 """After a talk that failed; a neighbour that is gone costs one try a second."""
-FRESH_S = 2.5
-"""A router tells others of the servers if it heard of them from the store this lately."""
 STALE_S = 1.2
 """A neighbour's loads are forgotten after this."""
 
@@ -83,6 +81,7 @@
         self._news_seen = routers_pb2.NewsMark()
         self._board = Reader()
         self._leaving: set[str] = set()
+        self._facts = Facts(parts.known, parts.contact, parts.roster, clock)
         self._declarations = DeclarationsFetch(parts.known, parts.contact, parts.decoder)
         self._large = anyio.Event()
         parts.dispatcher.large_listeners.append(self._sent_large)
@@ -105,7 +104,7 @@
                     group.start_soon(self._talk, address)
                 for address in self._talking.keys() - addresses:
                     self._talking.pop(address).cancel()
-                self._parts.dispatcher.routers = len(self._parts.roster.others) + 1
+                self._count_routers()
                 self._sum_up()
                 await anyio.sleep(TALK_S)
 
@@ -122,6 +121,10 @@
             known |= set(self._parts.seeds)
         return known - {self._address}
 
+    def _count_routers(self) -> None:
+        roster, dispatcher = self._parts.roster, self._parts.dispatcher
+        dispatcher.routers = len(roster.others) + 1
+
     async def _read_board(self) -> None:
         """With many routers, leave words on a sidecar's board instead of talking with each."""
         told = self._parts.dispatcher.sent_parts.count
@@ -189,7 +192,7 @@
                 reader.took(reply.word.lifetime, word.news.mark)
                 self._hear(reply.word)
                 self._sum_up()
-                self._learn(reply, address)
+                self._facts.learn(reply, address)
                 await self._declarations.fetch(
                     address, reply.word.version, self._peers, self._clock
                 )
@@ -216,22 +219,16 @@
             version=parts.known.book.version if parts.known.book else 0,
             store_age_s=parts.contact.age_s,
             lanes=_lane_words(parts.dispatcher),
-            wants_facts=parts.contact.away or parts.known.book is None,
+            wants_facts=self._facts.wanted,
             leaving=self.leaving,
         )
 
     async def _answer(self, asked: routers_pb2.Word) -> routers_pb2.WordReply:
         self._hear(asked)
         self._sum_up()
-        known = self._parts.known
         reply = routers_pb2.WordReply(word=self._word())
         if asked.wants_facts:
-            reply.sidecars.extend(self._parts.roster.sidecars)
-        heard_s = self._clock.now_s() - known.servers_heard_unix_s
-        if asked.wants_facts and heard_s < FRESH_S:
-            reply.servers_told = True
-            reply.servers_version = known.servers_version
-            reply.servers.extend(_server_word(server) for server in known.servers.values())
+            self._facts.tell(reply)
         return reply
 
     def _hear(self, word: routers_pb2.Word) -> None:
@@ -245,21 +242,6 @@
             if lane is not None:
                 lane.hold(sent.parts, self._clock.now_s())
 
-    def _learn(self, reply: routers_pb2.WordReply, address: str) -> None:
-        parts = self._parts
-        if not parts.roster.sidecars:
-            # A router that starts while it is cut off learns of them here alone.
-            parts.roster.sidecars = tuple(reply.sidecars)
-        if not reply.servers_told or not parts.contact.away:
-            return
-        before = set(parts.known.servers)
-        servers = {server.lifetime: _server(server) for server in reply.servers}
-        parts.known.replace(servers, reply.servers_version, address)
-        if before != set(parts.known.servers):
-            events.FACTS.log(
-                other=address, store_age_s=reply.word.store_age_s, servers=len(reply.servers)
-            )
-
     def _sum_up(self) -> None:
         """Add up what the neighbours have under way at each server."""
         oldest_unix_s = self._clock.now_s() - STALE_S
@@ -292,19 +274,3 @@
         by_server.setdefault(one.server, []).append(one.part)
     for server, parts in by_server.items():
         yield routers_pb2.PartsWord(server=server, parts=dict.fromkeys(parts))
-
-
-def _server_word(server: RouteServer) -> routers_pb2.ServerWord:
-    return routers_pb2.ServerWord(**server._asdict())
-
-
-def _server(word: routers_pb2.ServerWord) -> RouteServer:
-    return RouteServer(
-        word.lifetime,
-        word.service,
-        word.address,
-        word.data_centre,
-        word.slots,
-        word.leaving,
-        word.born_unix_ms,
-    )
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -23,6 +23,9 @@
 AGAIN_S = 0.4
 """Servers that are full or unknown are asked for again after this, spread by half."""
 SPREAD = 0.5
+EVACUATED_S = 2.0
+"""Where all data centres are evacuated, callers come back after this: an operator takes one back
+after seconds at the least."""
 LEAST_ROUTERS = 2
 LARGE_TOKENS = 3000
 """A prompt with so much to read is told to the other routers at once.
@@ -209,6 +212,10 @@
         """
         lanes = [self.lanes.of(one) for one in self.known.of_service(service)]
         refusal = self.full(request, 'no server of the service can be reached')
+        if not lanes and self.known.evacuated(service):
+            again_s = EVACUATED_S + AGAIN_S * SPREAD * self._random.random()
+            reason = 'all servers of the service are in evacuated data centres'
+            return refusal._replace(reason=reason, retry_after_s=round(again_s, 2))
         wanted_unix_s = min((lane.unwanted_until_unix_s for lane in lanes), default=0.0)
         wait_s = wanted_unix_s - self.now_s()
         if wait_s <= 0:
--- a/tools/bench_forward.py
+++ b/tools/bench_forward.py
@@ -66,6 +66,7 @@
 class Documents:
     """The product's own types in JSON."""
 
+    declared_key = 'declared'
     declared_prefix = 'declared'
     servers_prefix = 'servers/'
 
@@ -73,7 +74,11 @@
         """Return the declarations."""
         return msgspec.json.decode(stored.value or b'', type=Declared)
 
-    def server(self, stored: Stored) -> RouteServer:
+    def evacuated(self, key: str) -> str:
+        """Know of no evacuations."""
+        return ''
+
+    def server(self, stored: Stored, now_unix_s: float) -> RouteServer:
         """Return a server's entry."""
         return msgspec.json.decode(stored.value or b'', type=RouteServer)
 
