Bound what all routers together send a server that is cold after its start

Callers saw nothing of it but ended servers: one that had just started had nothing under way and looked best to all routers at once, which sent it 31 and 34 requests within a second where 29 are allowed and above which it ends. Nobody read how long a server is cold, nor what it bears.

A server is cold while its entry says so; for its service's time after its data centre was taken back, until an entry that was written later says otherwise; and after its process was gone, until the service's time after the first answer. Routers then share its bound without asking each other: as many routers as it bears requests, chosen by highest random weight, send one a second each (fewer routers: equal parts). A router that has just started and has not heard of the others sends such a server nothing.

Not built: permits of the sidecar beside the server, as routers learn of a new sidecar up to 4 s later, when its server is warm.

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -29,6 +29,7 @@
     It may have started anew under its name, and its entry is of before.
     Given 3 routers and 6 servers in three data centres
     When server 0 refuses connections for 2 seconds, while requests come
+    And 30 seconds go by for them
     And 300 requests a second come at all routers for 2 seconds
     Then server 0 got at most 16 requests in any second
 
@@ -38,3 +39,20 @@
     And 300 requests a second come at all routers for 1 seconds
     Then server 0 got at most 16 requests in any second
     And those that were refused were told to come back in 0.1 to 4 seconds
+
+  Scenario Outline: Each policy keeps the bound at every size of the fleet
+    Routers don't agree quite on who is there, and their clocks differ by up to 40 ms.
+    When <per_s> requests a second meet a cold server and <routers> routers by <policy>
+    Then the cold server got at most 29 within any second
+    And it got at least <least> while it was cold
+
+    Examples:
+      | policy      | routers | per_s | least |
+      | few_routers | 3       | 60    | 30    |
+      | few_routers | 21      | 150   | 30    |
+      | few_routers | 68      | 400   | 30    |
+      | few_routers | 410     | 2400  | 30    |
+      | time_slots  | 3       | 60    | 1     |
+      | time_slots  | 21      | 150   | 1     |
+      | time_slots  | 68      | 400   | 1     |
+      | time_slots  | 410     | 2400  | 1     |
--- /dev/null
+++ b/features/steps/cold_bursts_steps.py
@@ -0,0 +1,26 @@
+"""Steps of cold_servers.feature that replay the policies alone."""
+
+from typing import Any
+
+from behave import then, when
+
+from subjects.cold_bursts import ColdBurst
+
+
+@when('{per_s:d} requests a second meet a cold server and {routers:d} routers by {policy}')
+def play(context: Any, per_s: int, routers: int, policy: str) -> None:
+    """Send them."""
+    context.burst = ColdBurst(policy, routers)
+    context.burst.play(per_s)
+
+
+@then('the cold server got at most {most:d} within any second')
+def busiest(context: Any, most: int) -> None:
+    """Count what it got."""
+    assert context.burst.busiest <= most, context.burst.busiest
+
+
+@then('it got at least {least:d} while it was cold')
+def served(context: Any, least: int) -> None:
+    """Count what it got."""
+    assert context.burst.served >= least, context.burst.served
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -126,6 +126,7 @@
                 'late_seconds': self._lateness.worst_s(),
                 'sidecars_known': len(parts.roster.sidecars),
                 'evacuated_data_centres': len(known.evacuations.names),
+                'cold_withheld': parts.dispatcher.cold.withheld_count,
                 'crash_records': len(parts.dispatcher.crashes),
                 'routers_known': len(parts.roster.others) + 1,
                 **parts.dispatcher.counts,
--- a/packages/fleet/src/endivesaddle/fleet/routes/carrying.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/carrying.py
@@ -6,7 +6,6 @@
 """
 
 import enum
-from functools import partial
 from typing import NamedTuple
 
 from endivesaddle.fleet.clock import Clock
@@ -22,8 +21,7 @@
 )
 from endivesaddle.fleet.routes.progress import Progress
 from endivesaddle.fleet.routing.dispatcher import Dispatcher, Place
-from endivesaddle.fleet.routing.lanes import Lane
-from endivesaddle.fleet.seams import NeverSent, ServerLeft, ServerLost
+from endivesaddle.fleet.seams import NeverSent, ServerLeft, ServerLost, ServerRefused
 from endivesaddle.fleet.sentinels import HAS_RUN, NOT_RUN, RUN_UNKNOWN, Refusal
 
 LEAST_LEFT_S = 0.02
@@ -117,7 +115,7 @@
         """Send it to one server and pass on what comes."""
         request = self.request
         server = place.lane.server
-        call = self._call(place.lane)
+        call = self._call(place)
         events.PLACED.log(
             request_id=request.request_id,
             server=server.lifetime,
@@ -141,7 +139,7 @@
             return self._failed(place, Outcome.NOT_SENT, str(error))
         except NeverSent as error:
             self._progress.not_run()
-            place.silent()
+            place.silent(isinstance(error, ServerRefused))
             return self._failed(place, Outcome.NOT_SENT, str(error))
         except ServerLost as error:
             return await self._lost(place, str(error))
@@ -153,18 +151,18 @@
         outcome = self._failed(place, Outcome.LOST, reason)
         server = place.lane.server
         if await self._parts.crashes.broke(self.request.digest(), server, self._sent_unix_s):
-            place.silent()
+            place.silent(ended=True)
         return outcome
 
-    def _call(self, lane: Lane) -> ServerCall:
+    def _call(self, place: Place) -> ServerCall:
         last_event = self._progress.last_event
         request = self.request
         return ServerCall(
             request,
-            lane.server,
+            place.lane.server,
             request.end_unix_s,
             last_event,
-            partial(self._parts.dispatcher.takes, lane),
+            place.admitted,
         )
 
     def _failed(self, place: Place, outcome: Outcome, reason: str) -> Outcome:
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -124,6 +124,8 @@
     def _count_routers(self) -> None:
         roster, dispatcher = self._parts.roster, self._parts.dispatcher
         dispatcher.routers = len(roster.others) + 1
+        dispatcher.cold.routers = (self._lifetime, *roster.others)
+        dispatcher.cold.settled = roster.settled
 
     async def _read_board(self) -> None:
         """With many routers, leave words on a sidecar's board instead of talking with each."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/roster.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/roster.py
@@ -97,13 +97,17 @@
 
 
 class Roster:
-    """The other routers by lifetime, the sidecars, and this router's own entry."""
+    """The other routers by lifetime, the sidecars, and this router's own entry.
+
+    It is ``settled`` once routers that start at the same time have been looked for.
+    """
 
     def __init__(self, store: ForwardStore, clock: Clock, own: Instance) -> None:
         """Enter ``own`` and look for others."""
         self.others: dict[str, str] = {}
         self.sidecars: tuple[str, ...] = ()
         self.looked = False
+        self.settled = False
         self._near: tuple[str, ...] = ()
         self._all: tuple[str, ...] = ()
         self._entry = Entry(store, clock, own)
@@ -138,6 +142,7 @@
                 await self._entry.keep()
                 await self._look()
                 looks += 1
+                self.settled = looks >= FIRST_LOOKS
             except (StoreUnreachable, StoreUnsure) as error:
                 # Whoever is known stays known: the other routers are reached without the store.
                 events.ROSTER_LOST.log(reason=str(error), routers=len(self.others))
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
@@ -0,0 +1,135 @@
+"""Cold servers: how many requests this router may send one within a second.
+
+Load pattern: a server has just started, or may have.  With nothing under way there it looks best to
+all routers at once, and ends under what they send together.  The bound is the service's, over all
+routers; no router asks another, so that it holds while they are cut off from each other.
+"""
+
+import hashlib
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from endivesaddle.fleet.registry import Registry
+from endivesaddle.fleet.routes.declared import Service
+from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routing.lanes import Lane
+
+ENTERED_S = 0.3
+"""A request that is sent later than this after it was let in counts anew: its connection took long,
+and others may have been let in since."""
+
+
+class ColdSetting(NamedTuple):
+    """What a policy decides on: a cold server, its bound, and the routers that may send to it.
+
+    ``settled`` tells whether this router has had time to hear of the others.
+    """
+
+    server: str
+    per_s: float
+    own: str
+    routers: Collection[str]
+    settled: bool
+    now_unix_s: float
+
+
+ColdPolicy = Callable[[ColdSetting], int]
+"""Returns the requests that this router may send the server within any second."""
+
+cold_policies: Registry[ColdPolicy] = Registry('cold start policy')
+
+
+@cold_policies.add('few_routers')
+def few_routers(setting: ColdSetting) -> int:
+    """Let as many routers as the server bears requests send one each, the same for all routers.
+
+    With fewer routers than that, each has the same part.  A router that has just started and does
+    not know the others sends nothing, as all may start at once.
+    """
+    most = int(setting.per_s)
+    if not setting.settled:
+        return 0
+    if len(setting.routers) <= most:
+        return most // max(1, len(setting.routers))
+    chosen = sorted(setting.routers, key=lambda router: _weight(setting.server, router))
+    return int(setting.own in chosen[:most])
+
+
+@cold_policies.add('time_slots')
+def time_slots(setting: ColdSetting) -> int:
+    """Let routers take turns by the clock: one request in a slot of ``1 / per_s`` seconds.
+
+    It needs clocks that agree to a slot's length, and a request that arrives in the slot.
+    """
+    order = sorted(setting.routers)
+    if not setting.settled or setting.own not in order:
+        return 0
+    slot = int(setting.now_unix_s * setting.per_s)
+    return int(order[slot % len(order)] == setting.own)
+
+
+class ColdStarts:
+    """What this router may send to cold servers; ``routers`` are all lifetimes, its own too."""
+
+    def __init__(self, policy: str, known: Known, own: str) -> None:
+        """Decide by a registered policy for the router ``own``."""
+        self.routers: Collection[str] = (own,)
+        self.settled = False
+        self.withheld_count = 0
+        self._policy = cold_policies.find(policy)
+        self._known = known
+        self._own = own
+
+    def cold_until_unix_s(self, lane: Lane, now_unix_s: float) -> float:
+        """Return until when a server is cold, or may be; 0 where it is not."""
+        service = self._service(lane)
+        if service is None or not service.cold_per_s:
+            return 0.0
+        until_unix_s = max(
+            self._known.cold_until_unix_s(lane.server),
+            lane.cold_until_unix_s(service.cold_s, now_unix_s),
+        )
+        return until_unix_s if until_unix_s > now_unix_s else 0.0
+
+    def takes(self, lane: Lane, now_unix_s: float) -> bool:
+        """Tell whether a server may be sent a request of this router now."""
+        if not self.cold_until_unix_s(lane, now_unix_s):
+            return True
+        return lane.sent_lately(now_unix_s) < self._allowed(lane, now_unix_s)
+
+    def enter(self, lane: Lane, now_unix_s: float) -> bool:
+        """Count a request for a server, or tell False where a cold one bears no more."""
+        if not self.takes(lane, now_unix_s):
+            self.withheld_count += 1
+            return False
+        lane.count_sending(now_unix_s)
+        return True
+
+    def sends(self, lane: Lane, entered_unix_s: float, now_unix_s: float) -> bool:
+        """Tell right before it is sent whether a request that was let in may still go."""
+        if now_unix_s - entered_unix_s <= ENTERED_S:
+            return True
+        return self.enter(lane, now_unix_s)
+
+    def free_unix_s(self, lane: Lane, now_unix_s: float) -> float:
+        """Return when a cold server may be sent the next request of this router."""
+        until_unix_s = self.cold_until_unix_s(lane, now_unix_s)
+        if self._allowed(lane, now_unix_s):
+            until_unix_s = min(until_unix_s, lane.sending_free_unix_s(now_unix_s))
+        return until_unix_s
+
+    def _allowed(self, lane: Lane, now_unix_s: float) -> int:
+        service = self._service(lane)
+        per_s = service.cold_per_s if service else 0.0
+        name = lane.server.lifetime
+        return self._policy(
+            ColdSetting(name, per_s, self._own, self.routers, self.settled, now_unix_s)
+        )
+
+    def _service(self, lane: Lane) -> Service | None:
+        book = self._known.book
+        return book.services.get(lane.server.service) if book else None
+
+
+def _weight(server: str, router: str) -> bytes:
+    return hashlib.blake2b(f'{server}/{router}'.encode(), digest_size=8).digest()
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -11,10 +11,11 @@
 from endivesaddle.fleet.routes.left_servers import LeftLife
 from endivesaddle.fleet.routing import forward_events as events
 from endivesaddle.fleet.routing.choosing import ASKED_TOKENS, Desks, NoDesks, choose
+from endivesaddle.fleet.routing.cold_starts import ColdStarts
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane, Lanes, is_engine
-from endivesaddle.fleet.routing.placing import Setting, placing_policies
+from endivesaddle.fleet.routing.placing import PlacingPolicy, Setting, placing_policies
 from endivesaddle.fleet.routing.retry_share import RetryShare
 from endivesaddle.fleet.routing.sent_parts import SentParts
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
@@ -41,10 +42,17 @@
     def __init__(self, dispatcher: 'Dispatcher', lane: Lane, want: ForwardWant) -> None:
         """Offer ``lane`` to ``want``."""
         self.lane = lane
+        self._entered_unix_s = dispatcher.now_s()
         self.unread_tokens = lane.unread(want, dispatcher.now_s())
         self._dispatcher = dispatcher
         self._want = want
 
+    def admitted(self) -> bool:
+        """Tell right before the request is sent whether it may still go there."""
+        now_unix_s = self._dispatcher.now_s()
+        takes = self._dispatcher.takes(self.lane)
+        return takes and self._dispatcher.cold.sends(self.lane, self._entered_unix_s, now_unix_s)
+
     def begin(self) -> None:
         """Note that the request is sent."""
         self.lane.sent(self._want, self._dispatcher.now_s())
@@ -72,9 +80,9 @@
         self._dispatcher.desks.changed(self.lane, soon=soon)
         self.lane.fared(well, self._dispatcher.now_s())
 
-    def silent(self) -> None:
-        """Note that the server could not be reached."""
-        self.lane.silent(self._dispatcher.now_s())
+    def silent(self, ended: bool) -> None:
+        """Note that the server could not be reached, or that its process ``ended``."""
+        self.lane.silent(self._dispatcher.now_s(), ended)
 
     def declined(self) -> None:
         """Note that the server had no room."""
@@ -106,6 +114,7 @@
         self.lanes = Lanes()
         self.sent_parts = SentParts()
         self.crashes = CrashRecords(settings)
+        self.cold = ColdStarts(settings.cold_policy, known, name)
         self.large_listeners: list[Callable[[], None]] = []
         self.counts: Counter[str] = Counter()
         self.desks: Desks = NoDesks()
@@ -144,10 +153,8 @@
         setting = Setting(
             want, lanes, self._settings.forward_data_centre, engine, self.now_s(), self._turn
         )
-        policy = placing_policies.find(name)
-        if engine and len(lanes) > 1:
-            return Place(self, await choose(setting, policy, self.desks), want)
-        return Place(self, policy(setting), want)
+        lane = await self._enter(setting, placing_policies.find(name))
+        return Place(self, lane, want) if lane else self._none(request, service)
 
     def held(self, request: ForwardRequest) -> Refusal | None:
         """Refuse a request that ended too many servers; None where it may run."""
@@ -200,30 +207,58 @@
                 'in_flight': lane.in_flight,
                 'reading_tokens': lane.reading_tokens,
                 'failed_share': round(lane.failed_share(now_unix_s), 3),
+                'cold_s': self._cold_s(lane),
             }
             for lane in self.lanes.all()
         }
 
+    async def _enter(self, setting: Setting, policy: PlacingPolicy) -> Lane | None:
+        """Choose a server and count the request there, passing over cold ones that bear no more."""
+        lanes = list(setting.lanes)
+        while lanes:
+            left = setting._replace(lanes=lanes)
+            if setting.engine and len(lanes) > 1:
+                lane = await choose(left, policy, self.desks)
+            else:
+                lane = policy(left)
+            if self.cold.enter(lane, self.now_s()):
+                return lane
+            lanes.remove(lane)
+        return None
+
     def _none(self, request: ForwardRequest, service: str) -> Refusal:
-        """Refuse where no server is left, until the first of them wants requests again.
+        """Refuse where no server is left, until the first of them may be sent requests again.
 
-        Load pattern: all servers of a service turn requests away and say for how long. Told to come
-        back sooner, callers used up their tries in that time.
+        Load pattern: all servers of a service turn requests away and say for how long, are cold, or
+        lie in evacuated data centres. Told to come back sooner, callers used up their tries in that
+        time.
         """
-        lanes = [self.lanes.of(one) for one in self.known.of_service(service)]
         refusal = self.full(request, 'no server of the service can be reached')
+        lanes = [self.lanes.of(one) for one in self.known.of_service(service)]
         if not lanes and self.known.evacuated(service):
-            again_s = EVACUATED_S + AGAIN_S * SPREAD * self._random.random()
             reason = 'all servers of the service are in evacuated data centres'
-            return refusal._replace(reason=reason, retry_after_s=round(again_s, 2))
-        wanted_unix_s = min((lane.unwanted_until_unix_s for lane in lanes), default=0.0)
-        wait_s = wanted_unix_s - self.now_s()
+            return self._later(refusal, reason, EVACUATED_S)
+        now_unix_s = self.now_s()
+        wait_s = min((self._free_unix_s(lane) for lane in lanes), default=now_unix_s) - now_unix_s
         if wait_s <= 0:
             return refusal
+        reason = 'all servers of the service are cold or turn requests away'
+        return self._later(refusal, reason, max(wait_s, AGAIN_S))
+
+    def _later(self, refusal: Refusal, reason: str, wait_s: float) -> Refusal:
         again_s = wait_s + AGAIN_S * SPREAD * self._random.random()
-        reason = 'all servers of the service turn requests away for now'
         return refusal._replace(reason=reason, retry_after_s=round(again_s, 2))
 
+    def _free_unix_s(self, lane: Lane) -> float:
+        """Return when a server may be sent a request of this router, as far as is known."""
+        now_unix_s = self.now_s()
+        cold_unix_s = self.cold.free_unix_s(lane, now_unix_s)
+        return max(lane.unwanted_until_unix_s, cold_unix_s)
+
+    def _cold_s(self, lane: Lane) -> float:
+        now_unix_s = self.now_s()
+        return round(max(0.0, self.cold.cold_until_unix_s(lane, now_unix_s) - now_unix_s), 2)
+
     def _service(self, request: ForwardRequest) -> str:
         """Return the service of a request: the same whenever it is asked."""
         targets = request.route.targets
@@ -247,7 +282,8 @@
         now_unix_s = self.now_s()
         lanes = [self.lanes.of(one) for one in servers if one.lifetime not in exclude]
         lanes = [lane for lane in lanes if lane.wanted(now_unix_s)]
-        return [lane for lane in lanes if lane.silent_until_unix_s <= now_unix_s] or lanes
+        lanes = [lane for lane in lanes if lane.silent_until_unix_s <= now_unix_s] or lanes
+        return [lane for lane in lanes if self.cold.takes(lane, now_unix_s)]
 
 
 def _drawn(route: Route, random: Random) -> str:
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from endivesaddle.fleet import settings
+from endivesaddle.fleet.routing.cold_starts import cold_policies
 from endivesaddle.fleet.routing.placing import placing_policies
 
 
@@ -19,6 +20,12 @@
     forward_data_centre: str = settings.option(
         'forward-data-centre', 'data centre of this router', 'one'
     )
+    cold_policy: str = settings.option(
+        'cold-policy',
+        f'which routers send to a server that is cold after its start: {", ".join(cold_policies)}',
+        'few_routers',
+        settings.choice(*cold_policies),
+    )
     retry_ratio: float = settings.option(
         'retry-ratio',
         'repeats that a service bears for each request, over all routers',
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -5,7 +5,7 @@
 and how its answers fared; peers' counts are added as they tell them.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -25,6 +25,8 @@
 700,000 tokens that takes in 38,000 a second keeps what nobody asks for 18 s."""
 HEARD_S = 0.3
 """The word of the sidecar beside a server counts for so long: the other routers' are as old."""
+SENDING_S = 1.0
+"""Sendings are counted over this time: what a cold server bears is told by the second."""
 MOST_PARTS = 4000
 """Parts remembered for one server: 20 s at 100 requests a second of all routers."""
 
@@ -71,6 +73,9 @@
         self._parts: OrderedDict[str, float] = OrderedDict()
         self._failed_share = 0.0
         self._failed_unix_s = 0.0
+        self._sendings: deque[float] = deque()
+        self._may_be_cold = False
+        self._back_unix_s = 0.0
 
     @property
     def own_in_flight(self) -> int:
@@ -137,19 +142,45 @@
         """Note whether an answer was sound."""
         if well:
             self._silences = 0
+            self._back(now_unix_s)
         self._failed_share = self.failed_share(now_unix_s)
         self._failed_share *= 1 - FAILED_WEIGHT
         if not well:
             self._failed_share += FAILED_WEIGHT
         self._failed_unix_s = now_unix_s
 
-    def silent(self, now_unix_s: float) -> None:
-        """Note that the server could not be reached: nothing goes there for a while."""
+    def silent(self, now_unix_s: float, ended: bool = False) -> None:
+        """Note that the server could not be reached: nothing goes there for a while.
+
+        With ``ended`` its process is gone: it may start again under its name, as others do whose
+        entries tell when they were born, and is cold then before its entry says so.
+        """
+        self._may_be_cold = ended or bool(self.server.born_unix_ms)
         pause_s = min(LONGEST_SILENT_S, SILENT_S * 2**self._silences)
         self._silences += 1
         self.silent_until_unix_s = now_unix_s + pause_s
         self.fared(well=False, now_unix_s=now_unix_s)
 
+    def cold_until_unix_s(self, cold_s: float, now_unix_s: float) -> float:
+        """Return until when the server may be cold after it was silent, by what this router met."""
+        if self._may_be_cold:
+            return now_unix_s + cold_s
+        return self._back_unix_s + cold_s if self._back_unix_s else 0.0
+
+    def count_sending(self, now_unix_s: float) -> None:
+        """Count a request that goes there now."""
+        self._sendings.append(now_unix_s)
+
+    def sent_lately(self, now_unix_s: float) -> int:
+        """Return how many requests went there within the last second."""
+        while self._sendings and self._sendings[0] <= now_unix_s - SENDING_S:
+            self._sendings.popleft()
+        return len(self._sendings)
+
+    def sending_free_unix_s(self, now_unix_s: float) -> float:
+        """Return when the oldest of them counts no more."""
+        return self._sendings[0] + SENDING_S if self._sendings else now_unix_s
+
     def wanted(self, now_unix_s: float) -> bool:
         """Tell whether the server takes requests of this router, as far as it said."""
         return self.unwanted_until_unix_s <= now_unix_s
@@ -162,6 +193,11 @@
         share = self._failed_share * 0.5 ** (passed_s / FORGIVEN_S)
         return 0.0 if share < FORGOTTEN_SHARE else share
 
+    def _back(self, now_unix_s: float) -> None:
+        if self._may_be_cold:
+            self._may_be_cold = False
+            self._back_unix_s = now_unix_s
+
     def _read(self, want: ForwardWant) -> bool:
         """Take a prompt off those that are being read; True if it was one of them."""
         tokens = self.reading.pop(want.key, None)
