--- a/features/subjects/cold_bursts.py
+++ b/features/subjects/cold_bursts.py
@@ -51,10 +51,11 @@
     @property
     def busiest(self) -> int:
         """The most requests that it got within any second."""
-        return max(
-            sum(1 for later in self._sent_unix_s if first <= later < first + SECOND_S)
-            for first in self._sent_unix_s
-        )
+        return max(self._since(first_unix_s) for first_unix_s in self._sent_unix_s)
+
+    def _since(self, first_unix_s: float) -> int:
+        sent = [one for one in self._sent_unix_s if one >= first_unix_s]
+        return sum(one < first_unix_s + SECOND_S for one in sent)
 
     def _router(
         self, policy: str, known: Known, name: str, names: list[str]
--- /dev/null
+++ b/features/subjects/homes.py
@@ -0,0 +1,90 @@
+"""Subject: one router's placing of requests whose route or account has home regions."""
+
+from types import MappingProxyType
+
+import msgspec
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.ports import Stored
+from endivesaddle.fleet.routes.forwarded import ForwardRequest
+from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routing.dispatcher import Dispatcher, Place
+from endivesaddle.fleet.sentinels import Refusal
+from subjects.links_loop import ScenarioLoop
+from subjects.users_platform import CONFIG, ENTRY, NODE, ROUTE, module, read_node
+
+ZONES = '[zones]\nporto-a = "porto"\nporto-b = "porto"\naji-hall = "rajkot"\n'
+DATA_CENTRES = ('porto-a', 'aji-hall', 'elsewhere')
+REGIONS = MappingProxyType({'porto-a': 'porto', 'aji-hall': 'rajkot', 'elsewhere': 'none'})
+TIME_S = 10.0
+
+
+class Homes:
+    """A router that knows one server in each of three data centres."""
+
+    def __init__(self) -> None:
+        """Start with nothing evacuated."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._known = Known()
+        self._decoder = module('documents').PlatformDecoder()
+        settings, _ = read_node(f'{NODE}{ZONES}')
+        self._dispatcher = Dispatcher(settings.forward, self._known, self._clock, 'router-1')
+        for number, name in enumerate(DATA_CENTRES):
+            entry = {**ENTRY, 'zone': name, 'address': f'10.0.{number}.1:80'}
+            stored = Stored(f'servers/{name}', msgspec.json.encode(entry), 1)
+            self._known.server(self._decoder.server(stored, 0), 'test')
+        self.outcomes: list[Place | Refusal] = []
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def evacuate(self, region: str) -> None:
+        """Evacuate the data centre of a region."""
+        names = [name for name, found in REGIONS.items() if found == region]
+        self._known.evacuations.replace(names, 1, 0, 'test')
+
+    def come(self, count: int, route_homes: list[str], account_homes: list[str]) -> None:
+        """Place requests of a route and an account."""
+        route = {**ROUTE, 'backends': [{'service': 'engines', 'weight': 1}]}
+        account = {**CONFIG['tenants'][0], 'allowed_regions': account_homes}
+        config = {
+            **CONFIG,
+            'routes': [{**route, 'allowed_regions': route_homes}],
+            'tenants': [account],
+        }
+        declared = module('documents').read_config(msgspec.json.encode(config))
+        self._known.declare(declared, b'', 'test')
+        for number in range(count):
+            self._loop.run(self._place, number)
+
+    def regions(self) -> set[str]:
+        """Return the regions in which requests were placed."""
+        places = [outcome for outcome in self.outcomes if isinstance(outcome, Place)]
+        return {REGIONS[place.lane.server.data_centre] for place in places}
+
+    async def _place(self, number: int) -> None:
+        book = self._known.book
+        assert book
+        end_unix_s = self._clock.now_s() + TIME_S
+        request = ForwardRequest(
+            request_id=f'attempt-{number}',
+            route=book.declared.routes[0],
+            account=book.declared.accounts[0],
+            method='POST',
+            target='/b/x',
+            headers=(),
+            body=b'',
+            deadline_unix_s=end_unix_s,
+            end_unix_s=end_unix_s,
+            prompt_tokens=100,
+            max_tokens=10,
+            parts=(),
+            last_event=-1,
+            began_unix_s=self._clock.now_s(),
+        )
+        place = await self._dispatcher.place(request, frozenset())
+        if isinstance(place, Place):
+            place.begin()
+        self.outcomes.append(place)
