Serve requests in the home regions of their route and account alone

Callers whose route or account has home regions were served in any: what the operator declares of them was read by nobody, and no router knew the region of a data centre. Routers take the regions from a setting (--regions), and where route and account both name homes, both bind.

Which servers are open for a request, and why none is, moved into a module of its own.

--- a/features/subjects/cold_bursts.py
+++ b/features/subjects/cold_bursts.py
@@ -13,6 +13,7 @@
 COLD_S = 3.0
 PER_S = 16.0
 SECOND_S = 1.0
+UNKNOWN_SHARE = 0.05
 START_UNIX_S = 1000.0
 SERVER = RouteServer(
     'life-0', 'engines', '10.0.0.1:1', 'a', 64, cold_until_unix_s=START_UNIX_S + COLD_S
@@ -36,7 +37,8 @@
     def play(self, per_s: float) -> None:
         """Send requests at random routers while the server is cold."""
         now_unix_s = START_UNIX_S
-        while now_unix_s < START_UNIX_S + COLD_S:
+        end_unix_s = START_UNIX_S + COLD_S
+        while now_unix_s < end_unix_s:
             now_unix_s += self._random.expovariate(per_s)
             number = self._random.randrange(len(self._routers))
             cold, lane = self._routers[number]
@@ -62,7 +64,7 @@
     ) -> tuple[ColdStarts, Lane]:
         cold = ColdStarts(policy, known, name)
         # One in twenty of the others is unknown: it started just now, or left its entry.
-        heard = [other for other in names if self._random.random() >= 0.05]
+        heard = [other for other in names if self._random.random() >= UNKNOWN_SHARE]
         cold.routers = {name, *heard}
         cold.settled = True
         return cold, Lane(SERVER)
--- a/packages/fleet/src/endivesaddle/fleet/routes/declared.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/declared.py
@@ -26,6 +26,7 @@
     the answer (streams: to the first event) that is aimed at, ``max_attempts``
     how many backend servers one request may run on.  ``priority`` 0 is the
     most urgent.  ``resumable`` streams go on elsewhere from the last event.
+    ``homes`` are the regions whose servers may get its requests, all where it is empty.
     """
 
     name: str
@@ -39,6 +40,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    homes: frozenset[str] = frozenset()
 
     @property
     def streamed(self) -> bool:
@@ -78,13 +80,14 @@
     """A client account: keys of its callers, and the tokens it may spend in all.
 
     ``priority`` goes before the route's where it is not None; ``total_tokens``
-    is None for an account without a budget.
+    is None for an account without a budget.  ``homes`` bind as a route's do.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     total_tokens: int | None = None
+    homes: frozenset[str] = frozenset()
 
 
 class RequestLimits(NamedTuple):
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -52,6 +52,13 @@
             rank = account.priority
         return max(0, min(URGENCIES, rank))
 
+    @property
+    def homes(self) -> frozenset[str] | None:
+        """The regions in which it may be served, None for all; route and account both bind."""
+        bounds = [self.route.homes, self.account.homes if self.account else frozenset()]
+        named = [homes for homes in bounds if homes]
+        return frozenset.intersection(*named) if named else None
+
     def digest(self) -> str:
         """Return what tells this request from others, the same for each attempt of a caller.
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -129,9 +129,11 @@
         """Return the servers of a service that are not leaving, in no evacuated data centre."""
         return self._by_service.get(service, ())
 
-    def evacuated(self, service: str) -> bool:
-        """Tell whether some servers of a service take requests, but for evacuations."""
-        return any(one.service == service and not one.leaving for one in self.servers.values())
+    def all_of_service(self, service: str) -> tuple[RouteServer, ...]:
+        """Return the servers of a service that are not leaving, evacuated or not."""
+        return tuple(
+            one for one in self.servers.values() if one.service == service and not one.leaving
+        )
 
     def _said_it_leaves(self, lifetime: str, source: str) -> None:
         known = self.servers.get(lifetime)
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -5,11 +5,12 @@
 from random import Random
 
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.routes.declared import Route, RouteServer
+from endivesaddle.fleet.routes.declared import Route
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.routes.left_servers import LeftLife
 from endivesaddle.fleet.routing import forward_events as events
+from endivesaddle.fleet.routing.candidates import Candidates
 from endivesaddle.fleet.routing.choosing import ASKED_TOKENS, Desks, NoDesks, choose
 from endivesaddle.fleet.routing.cold_starts import ColdStarts
 from endivesaddle.fleet.routing.crash_records import CrashRecords
@@ -24,9 +25,6 @@
 AGAIN_S = 0.4
 """Servers that are full or unknown are asked for again after this, spread by half."""
 SPREAD = 0.5
-EVACUATED_S = 2.0
-"""Where all data centres are evacuated, callers come back after this: an operator takes one back
-after seconds at the least."""
 LEAST_ROUTERS = 2
 LARGE_TOKENS = 3000
 """A prompt with so much to read is told to the other routers at once.
@@ -122,6 +120,7 @@
         self._settings = settings
         self._clock = clock
         self._random = Random(name)
+        self._candidates = Candidates(known, self.lanes, self.cold, settings.regions)
         self._shares: dict[str, RetryShare] = {}
         self._turn = 0
 
@@ -143,7 +142,7 @@
         want = request.want(service)
         if not exclude:
             self._share(service).request(self.now_s())
-        lanes = self._open(service, exclude)
+        lanes = self._candidates.open(request, service, exclude, self.now_s())
         if not lanes:
             return self._none(request, service)
         engine = is_engine(self.known.book.services.get(service) if self.known.book else None)
@@ -227,33 +226,13 @@
         return None
 
     def _none(self, request: ForwardRequest, service: str) -> Refusal:
-        """Refuse where no server is left, until the first of them may be sent requests again.
-
-        Load pattern: all servers of a service turn requests away and say for how long, are cold, or
-        lie in evacuated data centres. Told to come back sooner, callers used up their tries in that
-        time.
-        """
-        refusal = self.full(request, 'no server of the service can be reached')
-        lanes = [self.lanes.of(one) for one in self.known.of_service(service)]
-        if not lanes and self.known.evacuated(service):
-            reason = 'all servers of the service are in evacuated data centres'
-            return self._later(refusal, reason, EVACUATED_S)
-        now_unix_s = self.now_s()
-        wait_s = min((self._free_unix_s(lane) for lane in lanes), default=now_unix_s) - now_unix_s
-        if wait_s <= 0:
+        """Refuse where no server is open, until one may be."""
+        found = self._candidates.why_none(request, service, self.now_s())
+        refusal = self.full(request, found.reason)
+        if not found.wait_s:
             return refusal
-        reason = 'all servers of the service are cold or turn requests away'
-        return self._later(refusal, reason, max(wait_s, AGAIN_S))
-
-    def _later(self, refusal: Refusal, reason: str, wait_s: float) -> Refusal:
-        again_s = wait_s + AGAIN_S * SPREAD * self._random.random()
-        return refusal._replace(reason=reason, retry_after_s=round(again_s, 2))
-
-    def _free_unix_s(self, lane: Lane) -> float:
-        """Return when a server may be sent a request of this router, as far as is known."""
-        now_unix_s = self.now_s()
-        cold_unix_s = self.cold.free_unix_s(lane, now_unix_s)
-        return max(lane.unwanted_until_unix_s, cold_unix_s)
+        again_s = max(found.wait_s, AGAIN_S) + AGAIN_S * SPREAD * self._random.random()
+        return refusal._replace(retry_after_s=round(again_s, 2))
 
     def _cold_s(self, lane: Lane) -> float:
         now_unix_s = self.now_s()
@@ -273,18 +252,6 @@
             self._shares[service] = share
         return share
 
-    def _open(self, service: str, exclude: frozenset[str]) -> list[Lane]:
-        """Return the lanes that may be used: those heard of late, or else all that want requests.
-
-        A server that does not want any has said so; one that fell silent may be back.
-        """
-        servers: tuple[RouteServer, ...] = self.known.of_service(service)
-        now_unix_s = self.now_s()
-        lanes = [self.lanes.of(one) for one in servers if one.lifetime not in exclude]
-        lanes = [lane for lane in lanes if lane.wanted(now_unix_s)]
-        lanes = [lane for lane in lanes if lane.silent_until_unix_s <= now_unix_s] or lanes
-        return [lane for lane in lanes if self.cold.takes(lane, now_unix_s)]
-
 
 def _drawn(route: Route, random: Random) -> str:
     names = [target.service for target in route.targets]
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
@@ -26,6 +26,12 @@
         'few_routers',
         settings.choice(*cold_policies),
     )
+    regions: tuple[str, ...] = settings.option(
+        'regions',
+        'the region of each data centre, as data-centre=region; others are in no known region',
+        (),
+        settings.pairs,
+    )
     retry_ratio: float = settings.option(
         'retry-ratio',
         'repeats that a service bears for each request, over all routers',
--- a/packages/fleet/src/endivesaddle/fleet/settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/settings.py
@@ -111,6 +111,16 @@
     return tuple(part.strip() for part in text.split(',') if part.strip())
 
 
+def pairs(text: str) -> tuple[str, ...]:
+    """Parse entries "name=value" separated by commas."""
+    entries = names(text)
+    for entry in entries:
+        name, _, value = entry.partition('=')
+        if not name or not value:
+            raise ValueError('entries such as porto-a=porto, separated by commas, are')
+    return entries
+
+
 def address(text: str) -> str:
     """Parse "ip:port"."""
     host, _, port = text.rpartition(':')
