--- /dev/null
+++ b/features/subjects/news_fleet.py
@@ -0,0 +1,129 @@
+"""Subject: many routers that hear of each other by the board of a sidecar alone."""
+
+import asyncio
+from random import Random
+
+import anyio
+
+from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.board import Board
+from endivesaddle.fleet.routes.book import RouteBook
+from endivesaddle.fleet.routes.declared import Declared
+from endivesaddle.fleet.routes.known import Contact, Known
+from endivesaddle.fleet.routes.left_servers import LeftLife
+from endivesaddle.fleet.routes.neighbours import NeighbourParts, Neighbours
+from endivesaddle.fleet.routing.dispatcher import Dispatcher
+from endivesaddle.fleet.routing.forward_settings import ForwardSettings
+from endivesaddle.stand_ins.memory_peers import MemoryNet
+from endivesaddle.wire import routers_pb2, rpcs
+from subjects.cut_router import NoDocuments
+from subjects.links_loop import ScenarioLoop
+
+BOARD = '10.1.0.0:1'
+START_S = 20.0
+LOOK_S = 0.05
+LONGEST_S = 20.0
+
+
+class FixedRoster:
+    """A roster that knows all routers from the start."""
+
+    def __init__(self, others: dict[str, str]) -> None:
+        """Know ``others`` and one sidecar."""
+        self.others = others
+        self.sidecars: tuple[str, ...] = (BOARD,)
+        self.boards = (BOARD,)
+        self.settled = True
+
+    def heard(self, lifetime: str, address: str) -> None:
+        """Know it already."""
+
+
+class NewsRouter:
+    """One router's knowledge, and its talks."""
+
+    def __init__(self, number: int, addresses: dict[str, str], net: MemoryNet) -> None:
+        """Build its parts."""
+        clock = LoopClock()
+        name = f'router-{number}'
+        self.known = Known()
+        self.known.book = RouteBook(Declared(1, (), (), ()))
+        contact = Contact(clock)
+        contact.heard()
+        others = {other: address for other, address in addresses.items() if other != name}
+        dispatcher = Dispatcher(ForwardSettings(), self.known, clock, name)
+        parts = NeighbourParts(
+            self.known, contact, dispatcher, FixedRoster(others), NoDocuments(), ()
+        )
+        address = addresses[name]
+        self.neighbours = Neighbours(parts, net.peers(address), clock, name, address)
+        handlers = Handlers()
+        self.neighbours.register(handlers)
+        net.serve(address, handlers)
+
+
+class NewsFleet:
+    """Such routers and one board; each call runs on one loop in virtual time."""
+
+    def __init__(self, routers: int) -> None:
+        """Start them, and let their first looks pass."""
+        self._loop = ScenarioLoop()
+        self._clock = LoopClock()
+        self._net = MemoryNet(self._clock)
+        self._random = Random(3)
+        self._asked = 0
+        self._asked_from_unix_s = 0.0
+        self._routers: list[NewsRouter] = []
+        self._loop.run(self._start, routers)
+
+    def close(self) -> None:
+        """End the loop."""
+        self._loop.close()
+
+    def spread_s(self, times: int) -> list[float]:
+        """Have one router hear of a server that leaves; return how long the others took."""
+        return [self._loop.run(self._spread, number) for number in range(times)]
+
+    def asked_per_s(self) -> float:
+        """Return the calls that the board got in a second, since the start passed."""
+        return self._asked / (self._clock_s() - self._asked_from_unix_s)
+
+    def _clock_s(self) -> float:
+        now_s: float = self._loop.run(self._now)
+        return now_s
+
+    async def _now(self) -> float:
+        return self._clock.now_s()
+
+    async def _start(self, routers: int) -> None:
+        board = Board(self._clock, 'board-1')
+        handlers = Handlers()
+        board.register(handlers)
+        answer = handlers.unary[rpcs.BOARD.path]
+
+        async def counted(asked: routers_pb2.BoardRequest) -> routers_pb2.BoardReply:
+            self._asked += 1
+            return await answer(asked)
+
+        handlers.unary[rpcs.BOARD.path] = counted
+        self._net.serve(BOARD, handlers)
+        addresses = {f'router-{n}': f'10.0.{n // 250}.{n % 250}:1' for n in range(routers)}
+        for number in range(routers):
+            router = NewsRouter(number, addresses, self._net)
+            self._routers.append(router)
+            asyncio.ensure_future(router.neighbours.run())
+        await anyio.sleep(START_S)
+        self._asked = 0
+        self._asked_from_unix_s = self._clock.now_s()
+
+    async def _spread(self, number: int) -> float:
+        await anyio.sleep(self._random.uniform(0, 1))
+        life = LeftLife(f'life-{number}', 0)
+        began_unix_s = self._clock.now_s()
+        self._random.choice(self._routers).known.left.add(life, 'answer')
+        while self._clock.now_s() < began_unix_s + LONGEST_S:
+            if all(router.known.left.said(life) for router in self._routers):
+                break
+            await anyio.sleep(LOOK_S)
+        return self._clock.now_s() - began_unix_s
