Use cold servers and the newest life at each address after a loss of power

Two causes: - A router that starts looked for others thrice, 0.7 s apart, before it sent a cold server anything. Now it counts as settled at its first look where the store still lists the life before at its address: that life was seen by the others. Routers are told apart by address, on which all agree also while some still know an earlier life. - Entries of ended servers stay for seconds beside those of the next ones at their addresses: 299 requests were turned away there first. Of two entries with one address the one that was written last counts.

--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -121,7 +121,7 @@
         known = self.servers.get(server.lifetime, server)
         service = self.book.services.get(server.service) if self.book else None
         cold_s = service.cold_s if service else 0.0
-        version = self._written.get(server.lifetime, 0)
+        version = self._written_at(server)
         suspected_unix_s = self.evacuations.cold_until_unix_s(server.data_centre, version, cold_s)
         return max(known.cold_until_unix_s, suspected_unix_s)
 
@@ -142,13 +142,29 @@
 
     def _tell(self) -> None:
         grouped: dict[str, list[RouteServer]] = {}
-        for server in self.servers.values():
+        for server in self._newest().values():
             if not server.leaving and server.data_centre not in self.evacuations.names:
                 grouped.setdefault(server.service, []).append(server)
         self._by_service = {name: tuple(members) for name, members in grouped.items()}
         for listener in self.listeners:
             listener()
 
+    def _newest(self) -> dict[str, RouteServer]:
+        """Return the server at each address whose entry was written last.
+
+        The entry of one that ended without a word stays for seconds, while the next one has its
+        address: requests to the first were turned away, and used up what may be sent again.
+        """
+        by_address: dict[str, RouteServer] = {}
+        for server in self.servers.values():
+            other = by_address.get(server.address)
+            if other is None or self._written_at(server) >= self._written_at(other):
+                by_address[server.address] = server
+        return by_address
+
+    def _written_at(self, server: RouteServer) -> int:
+        return self._written.get(server.lifetime, 0)
+
 
 class Contact:
     """When the store was last heard, and whether it is away."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -131,7 +131,9 @@
     def _count_routers(self) -> None:
         roster, dispatcher = self._parts.roster, self._parts.dispatcher
         dispatcher.routers = len(roster.others) + 1
-        dispatcher.cold.routers = (self._lifetime, *roster.others)
+        # By address: all agree on these also while some still know a router's earlier life.
+        dispatcher.cold.own = self._address
+        dispatcher.cold.routers = (self._address, *roster.others.values())
         dispatcher.cold.settled = roster.settled
 
     async def _read_board(self) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/roster.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/roster.py
@@ -142,7 +142,7 @@
                 await self._entry.keep()
                 await self._look()
                 looks += 1
-                self.settled = looks >= FIRST_LOOKS
+                self.settled = self.settled or looks >= FIRST_LOOKS
             except (StoreUnreachable, StoreUnsure) as error:
                 # Whoever is known stays known: the other routers are reached without the store.
                 events.ROSTER_LOST.log(reason=str(error), routers=len(self.others))
@@ -163,6 +163,9 @@
             for stored in sorted(found, key=lambda stored: stored.version)
             if stored.value is not None
         ]
+        own = [one for one in entries if one.address == self._own.address]
+        # The life before at this address was seen by the others, and saw them.
+        self.settled = self.settled or any(one.lifetime != self._own.lifetime for one in own)
         others: dict[str, str] = {}
         for router in entries:
             if router.role == ROUTER:
--- a/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
@@ -69,16 +69,16 @@
 
 
 class ColdStarts:
-    """What this router may send to cold servers; ``routers`` are all lifetimes, its own too."""
+    """What this router may send to cold servers; ``routers`` are all addresses, its ``own`` too."""
 
     def __init__(self, policy: str, known: Known, own: str) -> None:
         """Decide by a registered policy for the router ``own``."""
+        self.own = own
         self.routers: Collection[str] = (own,)
         self.settled = False
         self.withheld_count = 0
         self._policy = cold_policies.find(policy)
         self._known = known
-        self._own = own
 
     def cold_until_unix_s(self, lane: Lane, now_unix_s: float) -> float:
         """Return until when a server is cold, or may be; 0 where it is not."""
@@ -123,7 +123,7 @@
         per_s = service.cold_per_s if service else 0.0
         name = lane.server.lifetime
         return self._policy(
-            ColdSetting(name, per_s, self._own, self.routers, self.settled, now_unix_s)
+            ColdSetting(name, per_s, self.own, self.routers, self.settled, now_unix_s)
         )
 
     def _service(self, lane: Lane) -> Service | None:
