--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -8,7 +8,7 @@
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
-from subjects import users_platform
+from subjects import adapter_names, users_platform
 from subjects.slow_link import SlowScan
 
 MANY = 5
@@ -140,7 +140,7 @@
     assert declared.services[0].event_tokens == 6
     assert not declared.services[1].engine
     assert declared.accounts[0].total_tokens == 2688330
-    assert declared.limits.header_bytes == 999
+    assert (declared.limits.header_bytes, declared.limits.header_ms) == (999, 2000)
 
 
 @then('a worker says "{leaving}" and "{again}", and no client says the first for it')
@@ -151,6 +151,21 @@
     assert leaving in dialect.reserved
 
 
+@then('these are the names of its other headers')
+def other_headers(context: Any) -> None:
+    """Compare them with the dialect."""
+    dialect = users_platform.dialect()
+    for row in context.table:
+        assert getattr(dialect, row['for']) == row['header'], row
+
+
+@then('a list that may be seconds old is asked for with "{word}"')
+def stale(context: Any, word: str) -> None:
+    """Look at what the store was asked."""
+    context.users.call('glance', 'servers/')
+    assert word in context.users.gateway.asked[-1], context.users.gateway.asked
+
+
 @then("the settings file becomes the product's settings")
 def node(context: Any) -> None:
     """Compare some fields."""
@@ -235,3 +250,10 @@
     """Look at the time that it took."""
     assert context.scan.failure
     assert context.scan.took_s <= seconds, context.scan.took_s
+
+
+@then('each of its names stands in a test')
+def names_tested(context: Any) -> None:
+    """Compare the names of the sources."""
+    assert len(adapter_names.known()) > 50
+    assert not adapter_names.untested(), adapter_names.untested()
--- a/features/subjects/kv_gateway.py
+++ b/features/subjects/kv_gateway.py
@@ -25,6 +25,7 @@
         """Answer from ``store``."""
         self.status = 0
         self.lose = 0
+        self.asked: list[dict[str, str]] = []
         self._store = store
         self._clock = clock
 
@@ -35,6 +36,7 @@
             await _reply(send, self.status, {})
             return
         query = dict(parse_qsl(scope.get('query_string', b'').decode()))
+        self.asked.append(query)
         try:
             status, document = await self._answer(scope['path'], query, body)
         except StoreUnreachable:
--- a/features/subjects/users_platform.py
+++ b/features/subjects/users_platform.py
@@ -49,7 +49,11 @@
             {'name': 'engines', 'max_conns': 370, 'engine': {'stride': 6, 'kv_capacity': 700}},
             {'name': 'plain', 'max_conns': 110},
         ],
-        'limits': {'max_header_bytes': 999, 'idle_timeout_ms': 15000},
+        'limits': {
+            'max_header_bytes': 999,
+            'header_timeout_ms': 2000,
+            'idle_timeout_ms': 15000,
+        },
         'tenants': [{'name': 'hule', 'api_keys': ['k1', 'k2'], 'priority': 1, 'prepaid': 2688330}],
     }
 )
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -23,11 +23,24 @@
   Scenario: The headers of workers
     A word of theirs under another name than the router reads is never heard.
     Then a worker says "server-leaving" and "retry-after", and no client says the first for it
+    And these are the names of its other headers
+      | header           | for         |
+      | attempt-id       | request_id  |
+      | deadline-ms      | deadline_ms |
+      | token-count      | tokens      |
+      | prompt-prefix    | parts       |
+      | server-seal      | seal        |
+      | tenant           | account     |
+      | expect-instance  | lifetime    |
+      | not-executed     | declined    |
+      | request-priority | priority    |
+      | last-event-id    | last_event  |
 
   Scenario: The store's calls
     Given a router that follows the users' store
     Then a key is read, written under its version, and refused under another
     And a list of many pages is read whole
+    And a list that may be seconds old is asked for with "allow_stale"
     And a lost answer to a write is told as unsure
     And a write that the store refuses is told as not done
 
@@ -117,3 +130,7 @@
   Scenario: An answer that stops coming is none
     When a list stops coming after 1 second, and answers have to begin within half a second
     Then it counts as lost after 1.6 seconds at most
+
+  Scenario: Each name that the adapter knows has a test
+    Words that nobody read, or that were read under another name, broke rules three times.
+    Then each of its names stands in a test
