--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -70,6 +70,7 @@
             address=server.address,
             leaving=server.leaving,
             born_unix_ms=server.born_unix_ms,
+            cold_until_unix_s=round(server.cold_until_unix_s, 2),
             source=source,
         )
         self._tell()
--- a/packages/operators/src/endivesaddle/operators/local/explain.py
+++ b/packages/operators/src/endivesaddle/operators/local/explain.py
@@ -18,6 +18,8 @@
 
 BELIEFS = frozenset(
     (
+        'data_centre_evacuated',
+        'data_centre_taken_back',
         'facts_from_router',
         'grant_unwritten',
         'process_leaving',
