--- a/features/subjects/cut_router.py
+++ b/features/subjects/cut_router.py
@@ -98,6 +98,7 @@
         self.keeper = Keeper(KeeperLife(name, address, self.way, clock))
         keepers = Keepers(self.roster, address, clock)
         peers = net.peers(address)
+        self.peers = peers
         self.wallet = Wallet(
             WalletParts(name, address, self.known, keepers, self.keeper, peers, clock)
         )
