Don't give a keeper up for the router's own delay

Its calls to sidecars took longer than they may (0.25 s); it passed over the keeper for two seconds each time and went on to sidecars that had none of the quota; and a call was ended with the time of the request that began it, so that on a slow link nobody had an answer.

A call that takes too long while most calls to others do, too, now tells of this process: the keeper is asked again and not passed over, the time limit follows what calls take, and the call is not ended with the request that began it, as its answer is for all who wait. keeper_silent says own_delay and how long calls took lately; the state has it, too (calls_lately).

Scenario with a link that takes 0.37 s for 6 s: 35 of 120 requests refused before, at most 6 now (its bound). A keeper that alone is silent is given up as before. Tried: the limit by the 90th percentile of all calls of 2 s, 111 refused (short limits of other calls hide what a call takes); the longest of 2 s, 14.

--- a/features/subjects/cut_router.py
+++ b/features/subjects/cut_router.py
@@ -8,6 +8,7 @@
 from endivesaddle.fleet.clock import LoopClock
 from endivesaddle.fleet.errors import StoreUnreachable
 from endivesaddle.fleet.ports import Handlers, Stored
+from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.declared import Declared, RouteAccount, RouteServer
 from endivesaddle.fleet.routes.following import Decoder, Follower
 from endivesaddle.fleet.routes.grant_group import KeeperLife
@@ -97,7 +98,7 @@
         self.roster = Roster(self.way, clock, own)
         self.keeper = Keeper(KeeperLife(name, address, self.way, clock))
         keepers = Keepers(self.roster, address, clock)
-        peers = net.peers(address)
+        peers = TimedPeers(net.peers(address), clock)
         self.peers = peers
         self.wallet = Wallet(
             WalletParts(name, address, self.known, keepers, self.keeper, peers, clock)
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -10,6 +10,7 @@
 import anyio
 
 from endivesaddle.fleet.clock import LoopClock
+from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.declared import (
     Declared,
     Repeat,
@@ -340,9 +341,9 @@
         keeper = Keeper(KeeperLife('one', 'one', self._store, self._clock))
         self._keeping = asyncio.ensure_future(keeper.run())
         keepers = Keepers(Alone(), 'one', self._clock)
-        peers = MemoryNet(self._clock).peers('one')
+        timed = TimedPeers(MemoryNet(self._clock).peers('one'), self._clock)
         self.wallet = Wallet(
-            WalletParts('one', 'one', self._known, keepers, keeper, peers, self._clock)
+            WalletParts('one', 'one', self._known, keepers, keeper, timed, self._clock)
         )
         dispatcher = Dispatcher(ForwardSettings(), self._known, self._clock, 'one')
         self.desks = CountingDesks()
--- a/features/subjects/shares.py
+++ b/features/subjects/shares.py
@@ -6,6 +6,7 @@
 
 from endivesaddle.fleet.clock import LoopClock
 from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.declared import Declared, RouteAccount
 from endivesaddle.fleet.routes.grant_group import GROUPS, PREFIX, KeeperLife
 from endivesaddle.fleet.routes.grants import Entry, decode
@@ -145,7 +146,8 @@
         keeper = Keeper(KeeperLife(name, name, self.store, self._clock))
         keepers = Keepers(Others(self, name), name, self._clock)
         peers = self.net.peers(name)
-        wallet = Wallet(WalletParts(name, name, known, keepers, keeper, peers, self._clock))
+        timed = TimedPeers(peers, self._clock)
+        wallet = Wallet(WalletParts(name, name, known, keepers, keeper, timed, self._clock))
         handlers = Handlers()
         keeper.register(handlers)
         self.net.serve(name, handlers)
--- a/packages/daemon/src/endivesaddle/daemon/forward_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_parts.py
@@ -4,7 +4,7 @@
 
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.ports import Peers
+from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.dialect import Dialect
 from endivesaddle.fleet.routes.following import Decoder
 from endivesaddle.fleet.routes.grant_group import KeeperLife
@@ -38,7 +38,7 @@
 
 
 def decisions(
-    settings: ForwarderSettings, ports: ForwardPorts, peers: Peers, clock: Clock
+    settings: ForwarderSettings, ports: ForwardPorts, peers: TimedPeers, clock: Clock
 ) -> Decisions:
     """Build the deciding parts of a router."""
     place = settings.place
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -20,6 +20,7 @@
 from endivesaddle.daemon.stopping import stop_signal
 from endivesaddle.fleet.clock import SteadyClock
 from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.desks import SidecarDesks
 from endivesaddle.fleet.routes.following import Follower
 from endivesaddle.fleet.routes.lateness import Lateness
@@ -50,7 +51,7 @@
         """Build all parts; ``run`` starts them."""
         clock = SteadyClock()
         place = settings.place
-        peers = GrpcPeers(settings.links, clock)
+        peers = TimedPeers(GrpcPeers(settings.links, clock), clock)
         self.parts = decisions(settings, ports, peers, clock)
         self.links = ForwardLinks(KeptLinks(), ports.dialect, clock)
         self.neighbours = Neighbours(
@@ -60,6 +61,7 @@
             place.lifetime,
             place.listen,
         )
+        self._call_times = peers.times
         self._desks = SidecarDesks(
             self.parts.dispatcher.lanes, self.parts.roster, peers, clock, place.lifetime
         )
@@ -114,6 +116,7 @@
             'grants': parts.keeper.dump(),
             'servers': parts.dispatcher.dump(),
             'evacuated': sorted(known.evacuations.names),
+            'calls_lately': self._call_times.dump(),
             'crashes': parts.dispatcher.crashes.dump(self._clock.now_s()),
             'counters': {
                 'forward_open': self._app.open_count,
--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -11,8 +11,8 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import FleetError
-from endivesaddle.fleet.ports import Peers
 from endivesaddle.fleet.routes import events, sidecar_events
+from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.declared import RouteAccount
 from endivesaddle.fleet.routes.drawn import DrawnAccount, Told
 from endivesaddle.fleet.routes.grant_group import GROUPS, group_of
@@ -36,7 +36,8 @@
 WAIT_S = 0.45
 """A request waits so long for tokens: a slow store takes 0.35 s for a write."""
 CALL_S = 0.25
-"""A keeper answers within a few ms, or after 0.15 s that it waits for the store."""
+"""A keeper answers within a few ms, or after 0.15 s that it waits for the store; while this
+process's calls take long, it has as much longer, up to ``WAIT_S``."""
 AGAIN_S = 1.0
 """A caller whose request found no tokens is told to come back after this."""
 
@@ -56,7 +57,7 @@
     known: Known
     keepers: Keepers
     own: Keeper
-    peers: Peers
+    peers: TimedPeers
     clock: Clock
 
 
@@ -243,14 +244,29 @@
         word.wanted = word.waiting + self._near(held)
         request.words.append(word)
         reply = await self._ask(address, request)
-        return DrawAnswer.AWAY if reply is None else reply.answers[0].state
+        if reply is None:
+            # A keeper that is still to be used is asked again: no other one has what it holds.
+            usable = self._parts.keepers.usable(address)
+            return DrawAnswer.GROWING if usable else DrawAnswer.AWAY
+        return reply.answers[0].state
 
     async def _ask(self, address: str, request: DrawRequest) -> DrawReply | None:
         try:
-            reply = await self._call(address, request)
+            # What the keeper gives is for all who wait: the first of them must not end the call
+            # when its own time is over, or on a slow link none would ever have an answer.
+            with anyio.CancelScope(shield=True):
+                reply = await self._call(address, request)
         except (FleetError, TimeoutError) as error:
-            sidecar_events.KEEPER_SILENT.log(keeper=address, reason=str(error))
-            self._parts.keepers.avoid(address)
+            # The wait may be this process's own, or its link's: no reason to leave the keeper.
+            own_delay = self._parts.peers.times.slow_elsewhere(address)
+            sidecar_events.KEEPER_SILENT.log(
+                keeper=address,
+                reason=str(error),
+                own_delay=own_delay,
+                **self._parts.peers.times.dump(),
+            )
+            if not own_delay:
+                self._parts.keepers.avoid(address)
             return None
         if reply.lifetime in self._ended:
             return None
@@ -260,7 +276,8 @@
     async def _call(self, address: str, request: DrawRequest) -> DrawReply:
         if address == self._parts.address:
             return await self._parts.own.draw(request)
-        deadline_unix_s = self._parts.clock.now_s() + CALL_S
+        limit_s = self._parts.peers.times.limit_s(address, CALL_S, WAIT_S)
+        deadline_unix_s = self._parts.clock.now_s() + limit_s
         return await self._parts.peers.call(address, rpcs.DRAW, request, deadline_unix_s)
 
     def _take_in(self, address: str, request: DrawRequest, reply: DrawReply) -> None:
