--- a/packages/fleet/src/endivesaddle/fleet/routes/avoided.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/avoided.py
@@ -1,8 +1,8 @@
 """Instances that did not answer, each passed over for a while.
 
 Failure: an instance whose machine is gone without a word stays on record, a sidecar for 90 s, and
-a call to it takes all the time that the call may.  Ten routers made 34 such calls of 1.2 s in 3 s
-to three sidecars, and heard nothing of the store meanwhile (logs of one day).
+a call to it takes all the time that the call may.  Routers that went on calling it heard nothing of
+the store meanwhile.
 """
 
 from endivesaddle.fleet.clock import Clock
--- a/packages/fleet/src/endivesaddle/fleet/routes/board.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/board.py
@@ -1,8 +1,8 @@
 """A board at a sidecar, on which routers leave words for all others.
 
-Load pattern: many routers.  Each talking with each other, 22 of them make up to 440 calls a
-second and hear of each other once in a second; by the board it is 40, and twice a second.  A call
-may wait at the board, and is answered as soon as there are news that the asker lacks.
+Load pattern: many routers.  Each talking with each other, their calls grow with the square of
+their number.  A call may wait at the board, and is answered as soon as there are news that the
+asker lacks.
 """
 
 from collections import deque
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -29,9 +29,8 @@
 LARGE_TOKENS = 3000
 """A prompt with so much to read is told to the other routers at once.
 
-It takes an engine 25 ms and more. In a replay of bursts, routers that heard of it only in
-their next talk sent theirs to the same engine: 82 of 1,200 first tokens were late, 20 when
-told at once."""
+Failure: routers that heard of it only in their next talk sent theirs to the same engine, where
+they waited behind it."""
 
 
 class Place:
@@ -62,8 +61,8 @@
     def began(self) -> None:
         """Note an event of the answer; the first one tells that the prompt is read.
 
-        Told to the sidecar beside the engine at each event, a stream of 40 events made 40 calls, of
-        1.06 ms of both ends' processors each (2,000 calls in one process).
+        The sidecar beside the engine is told at the first one alone: a call for each event would
+        cost more than passing the event on.
         """
         if self._want.key not in self.lane.reading:
             return
--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -21,14 +21,14 @@
 """A server that refused a connection or fell silent gets nothing for this long, then one try."""
 LONGEST_SILENT_S = 4.0
 PARTS_S = 20.0
-"""Prompt parts sent longer ago than this are taken as evicted: an engine with memory for
-700,000 tokens that takes in 38,000 a second keeps what nobody asks for 18 s."""
+"""Prompt parts sent longer ago than this are taken as evicted: an engine under load keeps for so
+long what nobody asks for."""
 HEARD_S = 0.3
 """The word of the sidecar beside a server counts for so long: the other routers' are as old."""
 SENDING_S = 1.0
 """Sendings are counted over this time: what a cold server bears is told by the second."""
 MOST_PARTS = 4000
-"""Parts remembered for one server: 20 s at 100 requests a second of all routers."""
+"""Parts remembered for one server."""
 
 
 class ForwardWant(NamedTuple):
--- a/packages/fleet/src/endivesaddle/fleet/routing/placing.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/placing.py
@@ -8,16 +8,14 @@
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
 
 PREFILL_TOKENS_PER_MS = 120.0
-"""Prompt tokens that an engine reads in a millisecond (112 to 125 by its operators)."""
+"""Prompt tokens that an engine is taken to read in a millisecond."""
 REQUEST_MS = 3.0
 """What a request under way adds to the first token of the next, beside its prompt."""
 FAILURE_MS = 1500.0
 """A server that fails all requests looks as far away as one with this wait."""
 FAR_MS = 8.0
-"""A server in another data centre costs bytes, and its link may lose packets.
-
-Two days without load beside them: a fifth fewer bytes between data centres at the larger
-site (0.013, 0.010 GB) than with 2 ms, and no less worth (first events not compared)."""
+"""A server in another data centre costs bytes, and its link may lose packets: it has to be better
+by this."""
 HOP_MS = 8.0
 """Another lane has to be better by this: asking there takes some 3 ms, and parts are left."""
 HOME_TRUST = 0.3
