--- a/packages/fleet/src/endivesaddle/fleet/routes/board.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/board.py
@@ -68,7 +68,8 @@
         seen = asked.seen if same else 0
         reply = BoardReply(lifetime=self._lifetime, number=seen)
         # With news alone: all are answered at once, and each would be told the words of all.
-        if asked.wait_s and not await self._heard(news_seen, asked.wait_s):
+        heard = asked.wait_s and await self._heard(news_seen, asked.wait_s)
+        if not heard and not asked.news_only:
             reply.words.extend(self._since(seen, asked.word.lifetime))
             reply.number = self._number
         reply.news.CopyFrom(self._news.since(news_seen))
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -200,6 +200,7 @@
             board=self._seen_board,
             news_seen=self._news_seen,
             wait_s=wait_s,
+            news_only=not wait_s,
         )
 
     async def _talk(self, address: str) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -243,7 +243,10 @@
         word.waiting = max(word.needed, held.waiting - held.holding.ahead)
         word.wanted = word.waiting + self._near(held)
         request.words.append(word)
-        reply = await self._ask(address, request)
+        # What the keeper gives is for all who wait: the first of them must not end the call when
+        # its own time is over, or on a slow link none would ever have an answer.
+        with anyio.CancelScope(shield=True):
+            reply = await self._ask(address, request)
         if reply is None:
             # A keeper that is still to be used is asked again: no other one has what it holds.
             usable = self._parts.keepers.usable(address)
@@ -252,10 +255,7 @@
 
     async def _ask(self, address: str, request: DrawRequest) -> DrawReply | None:
         try:
-            # What the keeper gives is for all who wait: the first of them must not end the call
-            # when its own time is over, or on a slow link none would ever have an answer.
-            with anyio.CancelScope(shield=True):
-                reply = await self._call(address, request)
+            reply = await self._call(address, request)
         except (FleetError, TimeoutError) as error:
             # The wait may be this process's own, or its link's: no reason to leave the keeper.
             own_delay = self._parts.peers.times.slow_elsewhere(address)
