Reproduce counts of requests that are kept forever, failing; say how far the tests are

The count for cold servers keeps the time of each request to a warm one. Tests print a line of progress each 10 s, use all cores and begin large files first.

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -65,3 +65,8 @@
       | time_slots  | 21      | 150   | 1     |
       | time_slots  | 68      | 400   | 1     |
       | time_slots  | 410     | 2400  | 1     |
+
+  Scenario: Of a warm server the requests of the last second alone are kept
+    All were kept for as long as the router lived, in case that the server turned cold.
+    When 100 requests a second go to a warm server for 60 seconds
+    Then no request before the last second is kept
--- a/features/steps/cold_bursts_steps.py
+++ b/features/steps/cold_bursts_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from subjects.cold_bursts import ColdBurst
+from subjects.cold_bursts import ColdBurst, WarmServer
 
 
 @when('{per_s:d} requests a second meet a cold server and {routers:d} routers by {policy}')
@@ -24,3 +24,17 @@
 def served(context: Any, least: int) -> None:
     """Count what it got."""
     assert context.burst.served >= least, context.burst.served
+
+
+@when('{per_s:d} requests a second go to a warm server for {seconds:d} seconds')
+def play_warm(context: Any, per_s: int, seconds: int) -> None:
+    """Send them."""
+    context.warm = WarmServer()
+    context.warm.play(per_s, seconds)
+
+
+@then('no request before the last second is kept')
+def kept(context: Any) -> None:
+    """Look at when the oldest one that is kept counts no more."""
+    now_unix_s = context.warm.now_unix_s
+    assert context.warm.lane.sending_free_unix_s(now_unix_s) >= now_unix_s
--- a/features/subjects/cold_bursts.py
+++ b/features/subjects/cold_bursts.py
@@ -68,3 +68,23 @@
         cold.routers = {name, *heard}
         cold.settled = True
         return cold, Lane(SERVER)
+
+
+class WarmServer:
+    """One router's requests to a server that is not cold."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        known = Known()
+        service = Service('engines', 0, 9, 0, COLD_S, PER_S)
+        known.declare(Declared(1, (), (service,), ()), b'', 'x')
+        known.server(SERVER._replace(cold_until_unix_s=0), 'test')
+        self.lane = Lane(SERVER)
+        self.cold = ColdStarts('few_routers', known, 'router-0')
+        self.now_unix_s = START_UNIX_S + 2 * COLD_S
+
+    def play(self, per_s: int, seconds: int) -> None:
+        """Send requests."""
+        for _ in range(per_s * seconds):
+            self.now_unix_s += 1 / per_s
+            assert self.cold.enter(self.lane, self.now_unix_s)
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -10,12 +10,14 @@
 import subprocess
 import sys
 import tempfile
+import time
 from concurrent import futures
 from types import MappingProxyType
 from typing import NamedTuple
 
 BIN = pathlib.Path(sys.executable).parent
-WORKERS = max(2, (os.cpu_count() or 2) // 2)
+WORKERS = max(2, os.cpu_count() or 2)
+PROGRESS_S = 10.0
 KNOWN_RED = pathlib.Path('KNOWN-RED.txt')
 CHECKS = MappingProxyType(
     {
@@ -86,16 +88,60 @@
     return 1 if failed else 0
 
 
+class Progress:
+    """Says every few seconds how far the runs are."""
+
+    def __init__(self, count: int) -> None:
+        """Say so of ``count`` files and checks."""
+        self._count = count
+        self._told_s = time.monotonic()
+
+    def tell(self, ended: int, outcomes: list[Outcome]) -> None:
+        """Print a line, unless the last one was just now."""
+        now_s = time.monotonic()
+        if now_s - self._told_s < PROGRESS_S:
+            return
+        self._told_s = now_s
+        failed = sum(not outcome.passed for outcome in outcomes)
+        results = f'{len(outcomes)} results, {failed} failed'
+        print(f'{ended} of {self._count} files and checks, {results}', flush=True)
+
+
+def collect(runs: list[futures.Future[list[Outcome]]]) -> list[Outcome]:
+    """Wait for all runs, saying meanwhile how far they are."""
+    outcomes: list[Outcome] = []
+    progress = Progress(len(runs))
+    waiting = set(runs)
+    while waiting:
+        done, waiting = futures.wait(waiting, PROGRESS_S, futures.FIRST_COMPLETED)
+        for run in done:
+            outcomes.extend(run.result())
+        progress.tell(len(runs) - len(waiting), outcomes)
+    return sorted(outcomes, key=_name)
+
+
 def main() -> int:
     """Run everything; return 1 if anything failed that is not known red."""
-    paths = sorted(pathlib.Path('features').glob('*.feature'))
+    # Large files first: one that begins last would run alone at the end.
+    paths = sorted(pathlib.Path('features').glob('*.feature'), key=_bytes, reverse=True)
     with futures.ThreadPoolExecutor(WORKERS) as pool:
-        runs = pool.map(feature, paths)
-        outcomes = list(pool.map(check, CHECKS))
-        for run in runs:
-            outcomes.extend(run)
+        runs = [pool.submit(_checked, name) for name in CHECKS]
+        runs.extend(pool.submit(feature, path) for path in paths)
+        outcomes = collect(runs)
     return report(outcomes)
 
 
+def _name(outcome: Outcome) -> str:
+    return outcome.name
+
+
+def _checked(name: str) -> list[Outcome]:
+    return [check(name)]
+
+
+def _bytes(path: pathlib.Path) -> int:
+    return path.stat().st_size
+
+
 if __name__ == '__main__':
     sys.exit(main())
