Keep of requests to a server those of the last second alone

A router kept the time of each request that it sent, some 32 bytes each for as long as it lived, and told callers of a cold server to come back by one that was long over.

--- a/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/lanes.py
@@ -168,8 +168,9 @@
         return self._back_unix_s + cold_s if self._back_unix_s else 0.0
 
     def count_sending(self, now_unix_s: float) -> None:
-        """Count a request that goes there now."""
+        """Count a request that goes there now; older ones than a second are forgotten."""
         self._sendings.append(now_unix_s)
+        self.sent_lately(now_unix_s)
 
     def sent_lately(self, now_unix_s: float) -> int:
         """Return how many requests went there within the last second."""
@@ -179,7 +180,9 @@
 
     def sending_free_unix_s(self, now_unix_s: float) -> float:
         """Return when the oldest of them counts no more."""
-        return self._sendings[0] + SENDING_S if self._sendings else now_unix_s
+        if not self.sent_lately(now_unix_s):
+            return now_unix_s
+        return self._sendings[0] + SENDING_S
 
     def wanted(self, now_unix_s: float) -> bool:
         """Tell whether the server takes requests of this router, as far as it said."""
