--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -102,7 +102,7 @@
 
   Scenario: A server that has the address of an earlier one takes its place
     All servers lost power and came back with new names at their addresses; the entries of before
-    stayed for seconds.  A third of all requests went to these first, and were turned away.
+    stayed for seconds.  Requests went to these first, and were turned away.
     Given a router that follows the users' store
     When server one enters
     And server two enters at the address of server one
