Tell once of each header of servers' answers that nothing reads

Sight for the incident of named limits: an engine said something of itself in a header that is new, and no line of any router shows that it did. A line (3107, server_header_unread) has the first server and value; names are kept in the state dump and counted in the metrics. This tells 'nobody reads it' from 'it is read and kept badly'.

--- /dev/null
+++ b/features/server_signals.feature
@@ -0,0 +1,27 @@
+Feature: Headers by which servers tell routers something of themselves
+  What a server tells in the head of an answer is read, or it is seen that nobody reads it.
+
+  Scenario: A header that no router reads is told of
+    A server named a limit in a header that was new; it got as many requests as before, and no line
+    of any router showed that it had said anything.
+    Given 1 routers and 1 servers that answer over connections
+    When server 0 answers with the header "endivesaddle-news: 1.5"
+    And 3 requests come at router 0
+    Then one line tells that "endivesaddle-news" is not read, with "1.5" and the server
+    And no line tells so of another header
+
+  Scenario: Servers that make up headers fill neither memory nor log
+    Given 1 routers and 1 servers that answer over connections
+    When server 0 answers with 300 headers that nobody knows
+    And 3 requests come at router 0
+    Then 64 lines tell of headers that are not read
+    And each of these lines is shorter than 400 characters
+
+  Scenario: Values that may be secrets are not shown
+    Given 1 routers and 1 servers that answer over connections
+    When server 0 answers with the header "set-cookie: session=31337"
+    And 3 requests come at router 0
+    Then one line tells that "set-cookie" is not read, with "" and the server
+
+  Scenario: What the platform's callers read is not told of
+    Then the adapter leaves "weight-versions" to callers
--- /dev/null
+++ b/features/steps/server_signals_steps.py
@@ -0,0 +1,60 @@
+"""Steps of server_signals.feature."""
+
+from typing import Any
+
+from behave import then, when
+
+from subjects.logged_events import LoggedEvents
+from subjects.users_platform import module
+
+UNREAD = 'server_header_unread'
+
+
+@when('server {server:d} answers with the header "{header}"')
+def answer_with(context: Any, server: int, header: str) -> None:
+    """Have it say so, and keep the lines from here on."""
+    _say(context, server, f'{header}\r\n')
+
+
+@when('server {server:d} answers with {count:d} headers that nobody knows')
+def answer_with_many(context: Any, server: int, count: int) -> None:
+    """Have it say so, and keep the lines from here on."""
+    _say(context, server, ''.join(f'x-{number}: {"y" * 500}\r\n' for number in range(count)))
+
+
+@then('one line tells that "{header}" is not read, with "{value}" and the server')
+@then('one line tells that "{header}" is not read, with "" and the server')
+def told_once(context: Any, header: str, value: str = '') -> None:
+    """Look at the lines."""
+    told = [fields for fields in context.logged.fields(UNREAD) if fields['header'] == header]
+    assert told == [{'server': 'life-0', 'header': header, 'value': value}], told
+
+
+@then('no line tells so of another header')
+def told_no_other(context: Any) -> None:
+    """Look at the lines."""
+    assert len(context.logged.fields(UNREAD)) == 1, context.logged.fields(UNREAD)
+
+
+@then('{count:d} lines tell of headers that are not read')
+def told_often(context: Any, count: int) -> None:
+    """Count the lines."""
+    assert len(context.logged.fields(UNREAD)) == count
+
+
+@then('each of these lines is shorter than {characters:d} characters')
+def short(context: Any, characters: int) -> None:
+    """Measure the lines."""
+    assert max(len(str(fields)) for fields in context.logged.fields(UNREAD)) < characters
+
+
+@then('the adapter leaves "{header}" to callers')
+def passed(context: Any, header: str) -> None:
+    """Look at its dialect."""
+    assert header in module('headers').DIALECT.passed
+
+
+def _say(context: Any, server: int, headers: str) -> None:
+    context.logged = LoggedEvents()
+    context.add_cleanup(context.logged.close)
+    context.play.servers[server].headers = headers.encode()
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -7,6 +7,7 @@
 from endivesaddle.backend_servers.kept_links import Forwarded, KeptLinks
 from endivesaddle.backend_servers.server_connection import ServerResponse
 from endivesaddle.backend_servers.sse import EventSplitter, EventTooLong
+from endivesaddle.backend_servers.unread_headers import UnreadHeaders
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.dialect import HOP_BY_HOP, LENGTH, Dialect
@@ -73,6 +74,7 @@
     def __init__(self, links: KeptLinks, dialect: Dialect, clock: Clock) -> None:
         """Use ``dialect`` for the names of headers."""
         self.links = links
+        self.unread = UnreadHeaders(dialect)
         self._dialect = dialect
         self._clock = clock
 
@@ -88,7 +90,9 @@
         sent = Forwarded(request.method, request.target, headers, request.body, call.admitted)
         server = call.server
         async with self.links.exchange(server.lifetime, server.address, sent) as response:
-            yield KeptAnswer(response, call, self._dialect)
+            answer = KeptAnswer(response, call, self._dialect)
+            self.unread.look(server.lifetime, answer.headers)
+            yield answer
 
     async def check(self, server: RouteServer) -> None:
         """Connect to a server; the connection is kept for the next request.
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -118,6 +118,7 @@
             'evacuated': sorted(known.evacuations.names),
             'calls_lately': self._call_times.dump(),
             'crashes': parts.dispatcher.crashes.dump(self._clock.now_s()),
+            'unread_headers': sorted(self.links.unread.names),
             'counters': {
                 'forward_open': self._app.open_count,
                 'connections_opened': self.links.links.opened_count,
@@ -130,6 +131,7 @@
                 'sidecars_known': len(parts.roster.sidecars),
                 'evacuated_data_centres': len(known.evacuations.names),
                 'cold_withheld': parts.dispatcher.cold.withheld_count,
+                'unread_headers': len(self.links.unread.names),
                 'crash_records': len(parts.dispatcher.crashes),
                 'routers_known': len(parts.roster.others) + 1,
                 **parts.dispatcher.counts,
--- a/packages/fleet/src/endivesaddle/fleet/routes/dialect.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/dialect.py
@@ -10,6 +10,14 @@
 )  # fmt: skip
 """Headers that speak of one connection alone."""
 LENGTH = 'content-length'
+GENERAL = frozenset(
+    (
+        'accept-ranges', 'age', 'allow', 'cache-control', 'content-disposition',
+        'content-encoding', 'content-language', 'content-location', 'content-type', 'date', 'etag',
+        'expires', 'last-modified', 'link', 'location', 'pragma', 'server', 'vary', 'via',
+    )
+)  # fmt: skip
+"""Headers of answers that HTTP itself defines, and that are between server and caller."""
 
 
 class Dialect(NamedTuple):
@@ -19,7 +27,8 @@
     names is dropped.  ``seal`` is the server's word that an answer is its own,
     ``declined`` its word that it did not run a request, ``lifetime`` names the
     life of a server that may run it, ``leaving`` (with "1") is a server's word
-    that it takes no more requests in this life.
+    that it takes no more requests in this life.  ``passed`` are headers of
+    answers that callers read and that decide nothing here.
     """
 
     request_id: str = 'endivesaddle-request-id'
@@ -34,6 +43,7 @@
     priority: str = 'endivesaddle-priority'
     last_event: str = 'last-event-id'
     retry_after: str = 'retry-after'
+    passed: frozenset[str] = frozenset()
     reserved: frozenset[str] = frozenset(
         (
             'authorization',
@@ -46,3 +56,8 @@
             'endivesaddle-seal',
         )
     )
+
+    @property
+    def read_of_answers(self) -> tuple[str, ...]:
+        """The headers of servers' answers that are read."""
+        return (self.request_id, self.seal, self.declined, self.leaving, self.retry_after)
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_events.py
@@ -5,3 +5,6 @@
 UNWANTED = event(
     3106, 'INFO', 'server_unwanting', 'a server turned a request away, and wants none for a while'
 )
+HEADER_UNREAD = event(
+    3107, 'WARNING', 'server_header_unread', "a header of servers' answers that nothing here reads"
+)
