--- a/tools/checks.py
+++ b/tools/checks.py
@@ -65,7 +65,11 @@
     except json.JSONDecodeError:
         return [Outcome(str(path), False, done.stdout + done.stderr)]
     outcomes = [
-        Outcome(f'{path.name}: {scenario["name"]}', scenario.get('status') == 'passed', done.stdout)
+        Outcome(
+            f'{path.name}: {scenario["name"].strip()}',
+            scenario.get('status') == 'passed',
+            done.stdout,
+        )
         for found in features
         for scenario in found.get('elements', ())
         if scenario['type'] != 'background'
