Keep the limits that servers name in their answers

Callers saw nothing; a server in need did: it named a limit of 1.8 requests a second in its answers, and got 24 in 4 s from routers that had passed these on, where 16 are allowed. Cause: the header went to callers with the others and no router read it.

What servers tell of themselves takes one way now (routing/server_signals): a registry has an entry for each signal (leaving, retry_after, limit) that reads its text and notes it, for this router or for all; decisions ask what was noted where servers are chosen and again right before a request is sent. The adapter names the headers, and a check holds that each signal has one that no caller can set. A limit belongs to a life of a server, is told to all routers by talks or the board with its age, as clocks differ, and ends with an answer without one whose request was sent after the last that named it.

equal_parts (each router its part, however seldom) breaks the limit as soon as there are more routers than requests in 4 s, since all may send their first at once; few_routers is kept. Permits of the sidecar beside the server were not built: they fail with it, and a server without one needs another way.

--- a/features/server_signals.feature
+++ b/features/server_signals.feature
@@ -25,3 +25,7 @@
 
   Scenario: What the platform's callers read is not told of
     Then the adapter leaves "weight-versions" to callers
+
+  Scenario: Each signal has a header in the adapter that no caller can set
+    A signal without one is never heard; one that a caller sets would be the server's word to others.
+    Then each signal has a header in the adapter, known as read and dropped where a caller sends it
--- a/features/steps/server_signals_steps.py
+++ b/features/steps/server_signals_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from endivesaddle.fleet.routing.server_signals import server_signals
 from subjects.logged_events import LoggedEvents
 from subjects.users_platform import module
 
@@ -54,6 +55,15 @@
     assert header in module('headers').DIALECT.passed
 
 
+@then('each signal has a header in the adapter, known as read and dropped where a caller sends it')
+def all_named(context: Any) -> None:
+    """Compare the registry with the adapter's dialect."""
+    dialect = module('headers').DIALECT
+    assert set(dialect.signals) == set(server_signals)
+    assert set(dialect.signals.values()) <= dialect.reserved
+    assert set(dialect.signals.values()) <= set(dialect.read_of_answers)
+
+
 def _say(context: Any, server: int, headers: str) -> None:
     context.logged = LoggedEvents()
     context.add_cleanup(context.logged.close)
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -65,8 +65,7 @@
         self.sealed = True
         self.declined = False
         self.misdirected = False
-        self.leaving = False
-        self.wanted_in_s = 0.0
+        self.signals: dict[str, str] = {}
         self._from = call.last_event + 1
         self._breaks_after = breaks_after
 
--- a/features/subjects/saying_servers.py
+++ b/features/subjects/saying_servers.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         """Answer well."""
         self.got = 0
+        self.held_s = 0.0
         self.status = OK
         self.headers = b''
 
@@ -74,7 +75,8 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Take what is sent, and answer."""
         answer = self._server.answer(bytes(data))
-        asyncio.get_running_loop().call_soon(self._connection.data_received, answer)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._server.held_s, self._connection.data_received, answer)
 
     def is_closing(self) -> bool:
         """Stay open."""
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -35,6 +35,7 @@
       | not-executed     | declined    |
       | request-priority | priority    |
       | last-event-id    | last_event  |
+      | server-limit     | limit       |
 
   Scenario: The store's calls
     Given a router that follows the users' store
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_calls.py
@@ -1,7 +1,6 @@
 """Send forwarded requests: what a server is told beside what the caller sent."""
 
-import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 from endivesaddle.backend_servers.kept_links import Forwarded, KeptLinks
@@ -17,10 +16,8 @@
 EVENT_BYTES = 1 << 20
 """The longest event of a stream that is passed on."""
 MISDIRECTED = 421
-UNAVAILABLE = 503
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
-YES = '1'
 
 _MS = 1000
 
@@ -40,10 +37,9 @@
             pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] != LENGTH
         )
         self.declined = dialect.declined in named
-        self.leaving = named.get(dialect.leaving, '').strip() == YES
-        self.wanted_in_s = 0.0
-        if response.status == UNAVAILABLE:
-            self.wanted_in_s = _seconds(named.get(dialect.retry_after, ''))
+        self.signals: Mapping[str, str] = {
+            name: named[header] for name, header in dialect.signals.items() if header in named
+        }
         self.misdirected = response.status == MISDIRECTED
         echoed = named.get(dialect.request_id, '')
         # A body that was encoded on the way is not the server's: no caller asked for it.
@@ -118,15 +114,3 @@
             own.append((LENGTH, str(len(request.body))))
         pairs = (*request.headers, *own)
         return [(name.encode('latin-1'), value.encode('latin-1')) for name, value in pairs]
-
-
-def _seconds(text: str) -> float:
-    """Read a number of seconds; 0 for none, and for what is no time to wait.
-
-    HTTP allows a date here, too: servers' clocks may be wrong by more than their dates say.
-    """
-    try:
-        seconds = float(text)
-    except ValueError:
-        return 0.0
-    return seconds if math.isfinite(seconds) and seconds > 0 else 0.0
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -118,6 +118,7 @@
             'evacuated': sorted(known.evacuations.names),
             'calls_lately': self._call_times.dump(),
             'crashes': parts.dispatcher.crashes.dump(self._clock.now_s()),
+            'limits': known.limits.dump(self._clock.now_s()),
             'unread_headers': sorted(self.links.unread.names),
             'counters': {
                 'forward_open': self._app.open_count,
@@ -130,7 +131,8 @@
                 'late_seconds': self._lateness.worst_s(),
                 'sidecars_known': len(parts.roster.sidecars),
                 'evacuated_data_centres': len(known.evacuations.names),
-                'cold_withheld': parts.dispatcher.cold.withheld_count,
+                'cold_withheld': parts.dispatcher.bounds.cold.withheld_count,
+                'limit_withheld': parts.dispatcher.bounds.limits.withheld_count,
                 'unread_headers': len(self.links.unread.names),
                 'crash_records': len(parts.dispatcher.crashes),
                 'routers_known': len(parts.roster.others) + 1,
--- a/packages/fleet/src/endivesaddle/fleet/routes/board.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/board.py
@@ -14,7 +14,8 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.ports import Handlers
 from endivesaddle.fleet.routes.left_servers import LeftServers
-from endivesaddle.fleet.routes.news import News
+from endivesaddle.fleet.routes.named_limits import NamedLimits
+from endivesaddle.fleet.routes.news import News, NewsSources
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.wire import rpcs
@@ -48,7 +49,9 @@
         self._waiting = 0
         self._left: deque[_Left] = deque()
         # Kept as long as by a router: those that start again are told all.
-        self._news = News(CrashRecords(ForwardSettings()), LeftServers(), clock)
+        self._news = News(
+            NewsSources(CrashRecords(ForwardSettings()), LeftServers(), NamedLimits()), clock
+        )
 
     def register(self, handlers: Handlers) -> None:
         """Answer the routers' calls."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/carrying.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/carrying.py
@@ -178,14 +178,11 @@
         return outcome
 
     async def _answered(self, place: Place, answer: ServerAnswer) -> Outcome:
-        if answer.leaving and not answer.misdirected:
-            place.leaves()
-        if answer.wanted_in_s:
-            place.unwanted(answer.wanted_in_s)
         if answer.misdirected:
             self._progress.not_run()
             place.misdirected()
             return self._failed(place, Outcome.DECLINED, 'another server has the address')
+        place.told(answer)
         if answer.declined:
             self._progress.not_run()
             place.declined()
--- a/packages/fleet/src/endivesaddle/fleet/routes/dialect.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/dialect.py
@@ -27,8 +27,9 @@
     names is dropped.  ``seal`` is the server's word that an answer is its own,
     ``declined`` its word that it did not run a request, ``lifetime`` names the
     life of a server that may run it, ``leaving`` (with "1") is a server's word
-    that it takes no more requests in this life.  ``passed`` are headers of
-    answers that callers read and that decide nothing here.
+    that it takes no more requests in this life, ``limit`` the requests a second
+    that it takes from all routers.  ``passed`` are headers of answers that
+    callers read and that decide nothing here.
     """
 
     request_id: str = 'endivesaddle-request-id'
@@ -40,6 +41,7 @@
     lifetime: str = 'endivesaddle-lifetime'
     declined: str = 'endivesaddle-not-run'
     leaving: str = 'endivesaddle-leaving'
+    limit: str = 'endivesaddle-limit'
     priority: str = 'endivesaddle-priority'
     last_event: str = 'last-event-id'
     retry_after: str = 'retry-after'
@@ -51,13 +53,19 @@
             'endivesaddle-deadline-ms',
             'endivesaddle-leaving',
             'endivesaddle-lifetime',
+            'endivesaddle-limit',
             'endivesaddle-not-run',
             'endivesaddle-priority',
             'endivesaddle-seal',
         )
     )
 
+    @property
+    def signals(self) -> dict[str, str]:
+        """The header of each signal that servers give of themselves, by the signal's name."""
+        return {'leaving': self.leaving, 'limit': self.limit, 'retry_after': self.retry_after}
+
     @property
     def read_of_answers(self) -> tuple[str, ...]:
         """The headers of servers' answers that are read."""
-        return (self.request_id, self.seal, self.declined, self.leaving, self.retry_after)
+        return (self.request_id, self.seal, self.declined, *self.signals.values())
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -1,7 +1,7 @@
 """A request on a route, as the decisions see it, and the ports that carry it."""
 
 import hashlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AbstractAsyncContextManager
 from typing import NamedTuple, Protocol
 
@@ -103,8 +103,7 @@
 
     ``own`` tells that it answers this request, ``sealed`` that the server vouches
     for it, ``declined`` that the server did not run the request and won't,
-    ``leaving`` that the server wants no more requests in this life, ``wanted_in_s``
-    in how many seconds it wants the next one, 0 for at once.
+    ``signals`` what the server tells of itself, the texts of headers by the signal's name.
     The body raises ``ServerLost`` where it ends early.
     """
 
@@ -114,8 +113,7 @@
     sealed: bool
     declined: bool
     misdirected: bool
-    leaving: bool
-    wanted_in_s: float
+    signals: Mapping[str, str]
 
     def events(self) -> AsyncIterator[bytes]:
         """Yield whole events of a stream as they arrive."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/neighbours.py
@@ -21,7 +21,7 @@
 from endivesaddle.fleet.routes.following import Decoder
 from endivesaddle.fleet.routes.known import Contact, Known
 from endivesaddle.fleet.routes.left_servers import ANSWER
-from endivesaddle.fleet.routes.news import News, Reader
+from endivesaddle.fleet.routes.news import News, NewsSources, Reader
 from endivesaddle.fleet.routes.roster import Roster
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.fleet.routing.sent_parts import SentPart
@@ -80,12 +80,15 @@
         self._seen = 0
         self._parts_told = parts.dispatcher.sent_parts.count
         self._seen_board = ''
-        self._news = News(parts.dispatcher.crashes, parts.known.left, clock)
+        self._news = News(
+            NewsSources(parts.dispatcher.crashes, parts.known.left, parts.known.limits), clock
+        )
         self._news_seen = routers_pb2.NewsMark()
         self._board = Reader()
         self._own_news = anyio.Event()
         parts.dispatcher.crashes.listeners.append(self._met)
         parts.known.left.listeners.append(self._met)
+        parts.known.limits.listeners.append(self._met)
         self._leaving: set[str] = set()
         self._facts = Facts(parts.known, parts.contact, parts.roster, clock)
         self._declarations = DeclarationsFetch(parts.known, parts.contact, parts.decoder)
@@ -131,10 +134,7 @@
     def _count_routers(self) -> None:
         roster, dispatcher = self._parts.roster, self._parts.dispatcher
         dispatcher.routers = len(roster.others) + 1
-        # By address: all agree on these also while some still know a router's earlier life.
-        dispatcher.cold.own = self._address
-        dispatcher.cold.routers = (self._address, *roster.others.values())
-        dispatcher.cold.settled = roster.settled
+        dispatcher.bounds.know_routers(self._address, roster.others.values(), roster.settled)
 
     async def _read_board(self) -> None:
         """With many routers, leave words on a sidecar's board instead of talking with each."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/news.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/news.py
@@ -1,16 +1,18 @@
 """News of servers and requests that instances tell each other, whatever the store does.
 
-They come from answers and broken runs, and concern all routers: a server that leaves, a request
-that ends servers.  Each reader is told what it lacks, its next life all anew; what is told twice or
-late changes nothing.
+They come from answers and broken runs, and concern all routers: a server that leaves or names a
+limit, a request that ends servers.  Each reader is told what it lacks, its next life all anew; what
+is told twice or late changes nothing.
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import anyio
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes.left_servers import LeftLife, LeftServers
+from endivesaddle.fleet.routes.named_limits import NamedLimit, NamedLimits
 from endivesaddle.fleet.routing.crash_records import CrashRecord, CrashRecords, EndedRun
 from endivesaddle.wire import routers_pb2
 
@@ -19,19 +21,29 @@
 next word."""
 
 
+class NewsSources(NamedTuple):
+    """What one instance believes that it tells others, and takes from them."""
+
+    crashes: CrashRecords
+    left: LeftServers
+    limits: NamedLimits
+
+
 class News:
     """What one instance knows, as it tells it to others and hears it from them."""
 
-    def __init__(self, crashes: CrashRecords, left: LeftServers, clock: Clock) -> None:
-        """Tell what these two hold, and add to them."""
-        self._crashes = crashes
-        self._left = left
+    def __init__(self, sources: NewsSources, clock: Clock) -> None:
+        """Tell what the sources hold, and add to them."""
+        self._crashes = sources.crashes
+        self._left = sources.left
+        self._limits = sources.limits
         self._clock = clock
         self._changed = anyio.Event()
 
     def lacks(self, mark: routers_pb2.NewsMark) -> bool:
         """Tell whether a reader with this mark lacks any."""
-        return bool(self._crashes.since(mark.crashes, 1)) or mark.left < self._left.count
+        lacks_servers = mark.left < self._left.count or mark.limits < self._limits.count
+        return lacks_servers or bool(self._crashes.since(mark.crashes, 1))
 
     async def changed(self) -> None:
         """Wait until another instance has told something new."""
@@ -46,12 +58,14 @@
             news.mark.crashes = crashes[-1].number
         news.left.extend(_left_words(self._left.since(mark.left)))
         news.mark.left = self._left.count
+        news.limits.extend(self._limit_words(mark.limits))
+        news.mark.limits = self._limits.count
         return news
 
     def hear(self, news: routers_pb2.News, source: str) -> None:
         """Take in what another instance told."""
         now_unix_s = self._clock.now_s()
-        before = (self._crashes.number, self._left.count)
+        before = self._counts()
         for word in news.crashes:
             told = CrashRecord(
                 word.digest,
@@ -66,10 +80,23 @@
             self._crashes.hear(told, now_unix_s, source)
         for left in news.left:
             self._left.add(LeftLife(left.lifetime, left.born_unix_ms), source)
-        if before != (self._crashes.number, self._left.count):
+        for limit in news.limits:
+            said_unix_s = now_unix_s - max(0.0, limit.said_s)
+            self._limits.add(NamedLimit(limit.life, limit.per_s, said_unix_s), source)
+        if before != self._counts():
             self._changed.set()
             self._changed = anyio.Event()
 
+    def _counts(self) -> tuple[int, int, int]:
+        return self._crashes.number, self._left.count, self._limits.count
+
+    def _limit_words(self, number: int) -> Iterable[routers_pb2.LimitWord]:
+        now_unix_s = self._clock.now_s()
+        for limit in self._limits.since(number):
+            yield routers_pb2.LimitWord(
+                life=limit.life, per_s=limit.per_s, said_s=now_unix_s - limit.said_unix_s
+            )
+
     def _crash_words(self, records: Iterable[CrashRecord]) -> Iterable[routers_pb2.CrashWord]:
         now_unix_s = self._clock.now_s()
         for record in records:
--- a/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
@@ -5,8 +5,8 @@
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 from endivesaddle.fleet.routes.known import Known
-from endivesaddle.fleet.routing.cold_starts import ColdStarts
 from endivesaddle.fleet.routing.lanes import Lane, Lanes
+from endivesaddle.fleet.routing.sending_bounds import SendingBounds
 
 EVACUATED_S = 2.0
 """Where all data centres are evacuated, callers come back after this: an operator takes one back
@@ -24,12 +24,12 @@
     """The servers of one router; ``regions`` are "data-centre=region"."""
 
     def __init__(
-        self, known: Known, lanes: Lanes, cold: ColdStarts, regions: tuple[str, ...]
+        self, known: Known, lanes: Lanes, bounds: SendingBounds, regions: tuple[str, ...]
     ) -> None:
         """Choose among the servers that ``known`` holds."""
         self._known = known
         self._lanes = lanes
-        self._cold = cold
+        self._bounds = bounds
         self._regions = dict(entry.split('=', 1) for entry in regions)
 
     def open(
@@ -43,13 +43,14 @@
         lanes = [self._lanes.of(one) for one in servers if one.lifetime not in exclude]
         lanes = [lane for lane in lanes if lane.wanted(now_unix_s)]
         lanes = [lane for lane in lanes if lane.silent_until_unix_s <= now_unix_s] or lanes
-        return [lane for lane in lanes if self._cold.takes(lane, now_unix_s)]
+        return [lane for lane in lanes if self._bounds.takes(lane, now_unix_s)]
 
     def why_none(self, request: ForwardRequest, service: str, now_unix_s: float) -> NoServer:
         """Return why no server is open, and when the first of them may be sent requests again.
 
-        Load pattern: all servers of a service turn requests away and say for how long, are cold, or
-        lie in evacuated data centres.  Told to come back sooner, callers used up their tries.
+        Load pattern: all servers of a service turn requests away and say for how long, are cold,
+        named a limit, or lie in evacuated data centres.  Told to come back sooner, callers used up
+        their tries.
         """
         evacuated_too = self._known.all_of_service(service)
         if evacuated_too and not self._at_home(request, evacuated_too):
@@ -61,7 +62,9 @@
         wait_s = min(free_unix_s, default=now_unix_s) - now_unix_s
         if wait_s <= 0:
             return NoServer('no server of the service can be reached')
-        return NoServer('all servers of the service are cold or turn requests away', wait_s)
+        return NoServer(
+            'all servers of the service are cold, limited or turn requests away', wait_s
+        )
 
     def _at_home(
         self, request: ForwardRequest, servers: tuple[RouteServer, ...]
@@ -74,4 +77,4 @@
 
     def _free_unix_s(self, lane: Lane, now_unix_s: float) -> float:
         """Return when a server may be sent a request of this router, as far as is known."""
-        return max(lane.unwanted_until_unix_s, self._cold.free_unix_s(lane, now_unix_s))
+        return max(lane.unwanted_until_unix_s, self._bounds.free_unix_s(lane, now_unix_s))
--- a/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
@@ -5,7 +5,6 @@
 routers; no router asks another, so that it holds while they are cut off from each other.
 """
 
-import hashlib
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
@@ -13,6 +12,7 @@
 from endivesaddle.fleet.routes.declared import Service
 from endivesaddle.fleet.routes.known import Known
 from endivesaddle.fleet.routing.lanes import Lane
+from endivesaddle.fleet.routing.rendezvous import weight
 
 ENTERED_S = 0.3
 """A request that is sent later than this after it was let in counts anew: its connection took long,
@@ -51,7 +51,7 @@
         return 0
     if len(setting.routers) <= most:
         return most // max(1, len(setting.routers))
-    chosen = sorted(setting.routers, key=lambda router: _weight(setting.server, router))
+    chosen = sorted(setting.routers, key=lambda router: weight(setting.server, router))
     return int(setting.own in chosen[:most])
 
 
@@ -129,7 +129,3 @@
     def _service(self, lane: Lane) -> Service | None:
         book = self._known.book
         return book.services.get(lane.server.service) if book else None
-
-
-def _weight(server: str, router: str) -> bytes:
-    return hashlib.blake2b(f'{server}/{router}'.encode(), digest_size=8).digest()
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -6,19 +6,20 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes.declared import Route
-from endivesaddle.fleet.routes.forwarded import ForwardRequest
+from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerAnswer
 from endivesaddle.fleet.routes.known import Known
-from endivesaddle.fleet.routes.left_servers import ANSWER, LeftLife
-from endivesaddle.fleet.routing import forward_events as events
 from endivesaddle.fleet.routing.candidates import Candidates
 from endivesaddle.fleet.routing.choosing import ASKED_TOKENS, Desks, NoDesks, choose
 from endivesaddle.fleet.routing.cold_starts import ColdStarts
 from endivesaddle.fleet.routing.crash_records import CrashRecords
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane, Lanes, is_engine
+from endivesaddle.fleet.routing.limit_shares import LimitShares
 from endivesaddle.fleet.routing.placing import PlacingPolicy, Setting, placing_policies
 from endivesaddle.fleet.routing.retry_share import RetryShare
+from endivesaddle.fleet.routing.sending_bounds import SendingBounds
 from endivesaddle.fleet.routing.sent_parts import SentParts
+from endivesaddle.fleet.routing.server_signals import Said, hear
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
 
 UNAVAILABLE = 503
@@ -48,7 +49,7 @@
         """Tell right before the request is sent whether it may still go there."""
         now_unix_s = self._dispatcher.now_s()
         takes = self._dispatcher.takes(self.lane)
-        return takes and self._dispatcher.cold.sends(self.lane, self._entered_unix_s, now_unix_s)
+        return takes and self._dispatcher.bounds.sends(self.lane, self._entered_unix_s, now_unix_s)
 
     def begin(self) -> None:
         """Note that the request is sent."""
@@ -85,17 +86,12 @@
         """Note that the server had no room."""
         self._dispatcher.counts['declined'] += 1
 
-    def leaves(self) -> None:
-        """Note that the server said in its answer that it leaves."""
-        server = self.lane.server
-        life = LeftLife(server.lifetime, server.born_unix_ms)
-        self._dispatcher.known.left.add(life, ANSWER)
-
-    def unwanted(self, wanted_in_s: float) -> None:
-        """Note that the server turned a request away, and wants none for a while."""
-        now_unix_s = self._dispatcher.now_s()
-        self.lane.unwanted_until_unix_s = now_unix_s + wanted_in_s
-        events.UNWANTED.log(server=self.lane.server.lifetime, wanted_in_s=round(wanted_in_s, 3))
+    def told(self, answer: ServerAnswer) -> None:
+        """Note what the server told of itself in the head of its answer."""
+        # Nobody knows when the answer of another request was begun.
+        sent_unix_s = self._entered_unix_s if answer.own else 0.0
+        heading = Said('', answer.status, sent_unix_s, self._dispatcher.now_s())
+        hear(answer.signals, heading, self.lane, self._dispatcher.known)
 
     def misdirected(self) -> None:
         """Note that the address belongs to another server now."""
@@ -111,7 +107,10 @@
         self.lanes = Lanes()
         self.sent_parts = SentParts()
         self.crashes = CrashRecords(settings)
-        self.cold = ColdStarts(settings.cold_policy, known, name)
+        self.bounds = SendingBounds(
+            ColdStarts(settings.cold_policy, known, name),
+            LimitShares(settings.limit_policy, known.limits, name),
+        )
         self.large_listeners: list[Callable[[], None]] = []
         self.counts: Counter[str] = Counter()
         self.desks: Desks = NoDesks()
@@ -119,7 +118,7 @@
         self._settings = settings
         self._clock = clock
         self._random = Random(name)
-        self._candidates = Candidates(known, self.lanes, self.cold, settings.regions)
+        self._candidates = Candidates(known, self.lanes, self.bounds, settings.regions)
         self._shares: dict[str, RetryShare] = {}
         self._turn = 0
 
@@ -211,7 +210,7 @@
         }
 
     async def _enter(self, setting: Setting, policy: PlacingPolicy) -> Lane | None:
-        """Choose a server and count the request there, passing over cold ones that bear no more."""
+        """Choose a server and count the request there, passing over those that bear no more."""
         lanes = list(setting.lanes)
         while lanes:
             left = setting._replace(lanes=lanes)
@@ -219,7 +218,7 @@
                 lane = await choose(left, policy, self.desks)
             else:
                 lane = policy(left)
-            if self.cold.enter(lane, self.now_s()):
+            if self.bounds.enter(lane, self.now_s()):
                 return lane
             lanes.remove(lane)
         return None
@@ -235,7 +234,7 @@
 
     def _cold_s(self, lane: Lane) -> float:
         now_unix_s = self.now_s()
-        return round(max(0.0, self.cold.cold_until_unix_s(lane, now_unix_s) - now_unix_s), 2)
+        return round(max(0.0, self.bounds.cold.cold_until_unix_s(lane, now_unix_s) - now_unix_s), 2)
 
     def _service(self, request: ForwardRequest) -> str:
         """Return the service of a request: the same whenever it is asked."""
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_events.py
@@ -8,3 +8,6 @@
 HEADER_UNREAD = event(
     3107, 'WARNING', 'server_header_unread', "a header of servers' answers that nothing here reads"
 )
+LIMIT = event(
+    3108, 'INFO', 'server_limited', 'what a server takes from all routers, 0 for no limit any more'
+)
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_settings.py
@@ -4,6 +4,7 @@
 
 from endivesaddle.fleet import settings
 from endivesaddle.fleet.routing.cold_starts import cold_policies
+from endivesaddle.fleet.routing.limit_shares import limit_policies
 from endivesaddle.fleet.routing.placing import placing_policies
 
 
@@ -26,6 +27,12 @@
         'few_routers',
         settings.choice(*cold_policies),
     )
+    limit_policy: str = settings.option(
+        'limit-policy',
+        f'how routers share the limit that a server named: {", ".join(limit_policies)}',
+        'few_routers',
+        settings.choice(*limit_policies),
+    )
     regions: tuple[str, ...] = settings.option(
         'regions',
         'the region of each data centre, as data-centre=region; others are in no known region',
--- a/packages/fleet/src/endivesaddle/fleet/routing/placing.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/placing.py
@@ -1,11 +1,11 @@
 """Place a forwarded request on a backend server: the policies, by name."""
 
-import hashlib
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from endivesaddle.fleet.registry import Registry
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
+from endivesaddle.fleet.routing.rendezvous import weight
 
 PREFILL_TOKENS_PER_MS = 120.0
 """Prompt tokens that an engine is taken to read in a millisecond."""
@@ -74,11 +74,7 @@
 
 def home(part: str, lanes: Sequence[Lane]) -> Lane:
     """Return the lane on which all routers agree for a part (highest random weight)."""
-    return max(lanes, key=lambda lane: _weight(part, lane.server.lifetime))
-
-
-def _weight(part: str, lifetime: str) -> bytes:
-    return hashlib.blake2b(f'{part}/{lifetime}'.encode(), digest_size=8).digest()
+    return max(lanes, key=lambda lane: weight(part, lane.server.lifetime))
 
 
 def _expected_ms(setting: Setting, lane: Lane, at_home: bool) -> float:
@@ -117,4 +113,4 @@
     busy = (lane.in_flight + 1) / max(1, lane.server.slots)
     failing = lane.failed_share(setting.now_unix_s)
     far = lane.server.data_centre != setting.data_centre
-    return busy + 2 * failing, far, _weight(setting.want.key, lane.server.lifetime)
+    return busy + 2 * failing, far, weight(setting.want.key, lane.server.lifetime)
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routing/server_signals.py
@@ -0,0 +1,84 @@
+"""What servers tell of themselves in the heads of their answers: one way for all of it.
+
+An adapter names the header of each signal; here it is read, and noted for this router or for all of
+them.  Decisions ask what was noted where servers are chosen, and again right before a request is
+sent.  A header that is no signal and is not known otherwise is logged as unread.
+"""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from endivesaddle.fleet.registry import Registry
+from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.left_servers import ANSWER, LeftLife
+from endivesaddle.fleet.routing import forward_events as events
+from endivesaddle.fleet.routing.lanes import Lane
+
+UNAVAILABLE = 503
+YES = '1'
+
+
+class Said(NamedTuple):
+    """One signal of an answer; ``text`` is empty where the answer has no such header.
+
+    ``sent_unix_s`` is when the request was sent, 0 for unknown.
+    """
+
+    text: str
+    status: int
+    sent_unix_s: float
+    now_unix_s: float
+
+
+Signal = Callable[[Said, Lane, Known], None]
+
+server_signals: Registry[Signal] = Registry('server signal')
+
+
+@server_signals.add('leaving')
+def leaving(said: Said, lane: Lane, known: Known) -> None:
+    """Note for all routers that a server wants no more requests in this life."""
+    if said.text.strip() == YES:
+        known.left.add(LeftLife(lane.server.lifetime, lane.server.born_unix_ms), ANSWER)
+
+
+@server_signals.add('retry_after')
+def retry_after(said: Said, lane: Lane, known: Known) -> None:
+    """Note for this router, to which it was said, that a server wants none for a while."""
+    wanted_in_s = number(said.text) if said.status == UNAVAILABLE else None
+    if wanted_in_s:
+        lane.unwanted_until_unix_s = said.now_unix_s + wanted_in_s
+        events.UNWANTED.log(server=lane.server.lifetime, wanted_in_s=round(wanted_in_s, 3))
+
+
+@server_signals.add('limit')
+def limit(said: Said, lane: Lane, known: Known) -> None:
+    """Note for all routers how many requests a second a server takes from them together."""
+    if not said.text:
+        known.limits.unnamed(lane.server.life, said.sent_unix_s, said.now_unix_s)
+        return
+    per_s = number(said.text)
+    if per_s is not None:
+        known.limits.named(lane.server.life, per_s, said.now_unix_s)
+
+
+_ALL = tuple((name, server_signals.find(name)) for name in server_signals)
+
+
+def number(text: str) -> float | None:
+    """Read a number that is not negative; None for anything else.
+
+    For a time HTTP allows a date, too: servers' clocks may be wrong by more than their dates say.
+    """
+    try:
+        read = float(text)
+    except ValueError:
+        return None
+    return read if math.isfinite(read) and read >= 0 else None
+
+
+def hear(texts: Mapping[str, str], heading: Said, lane: Lane, known: Known) -> None:
+    """Note all signals of an answer; ``texts`` has those that it gives, by name."""
+    for name, signal in _ALL:
+        signal(heading._replace(text=texts.get(name, '')), lane, known)
