--- a/features/server_signals.feature
+++ b/features/server_signals.feature
@@ -23,6 +23,32 @@
     And 3 requests come at router 0
     Then one line tells that "set-cookie" is not read, with "" and the server
 
+  Scenario: Fields and keys of the store that no router reads are told of
+    The operator's key that evacuates a data centre, and the fields of cold servers, were read by
+    nobody, and no line showed that anything was said.
+    Given a router that follows the users' store
+    When the operator writes the key "op/pause/engines"
+    And a configuration has the field "surge" in each of its parts
+    And the entry of server one is written with mood as "low"
+    And the entry of server one is written with mood as "high"
+    Then these names are told of as not read, each once
+      | where         | name             |
+      | key           | op/pause/engines |
+      | configuration | surge            |
+      | route         | surge            |
+      | service       | surge            |
+      | engine        | surge            |
+      | account       | surge            |
+      | limits        | surge            |
+      | entry         | mood             |
+    And version 7 is in force
+    And 1 servers take requests
+
+  Scenario: Fields that are read, or known not to be needed, are not told of
+    Given a router that follows the users' store
+    When the configuration and the entry of the pages are written
+    Then no name is told of as not read
+
   Scenario: What the platform's callers read is not told of
     Then the adapter leaves "weight-versions" to callers
 
--- a/features/steps/server_signals_steps.py
+++ b/features/steps/server_signals_steps.py
@@ -6,9 +6,11 @@
 
 from endivesaddle.fleet.routing.server_signals import server_signals
 from subjects.logged_events import LoggedEvents
+from subjects.pages_documents import PAGES_CONFIG, PAGES_ENTRY, config_with
 from subjects.users_platform import module
 
 UNREAD = 'server_header_unread'
+UNREAD_NAME = 'stored_name_unread'
 
 
 @when('server {server:d} answers with the header "{header}"')
@@ -49,6 +51,42 @@
     assert max(len(str(fields)) for fields in context.logged.fields(UNREAD)) < characters
 
 
+@when('the operator writes the key "{key}"')
+def write_key(context: Any, key: str) -> None:
+    """Write it, and keep the lines from here on."""
+    context.logged = LoggedEvents()
+    context.add_cleanup(context.logged.close)
+    context.users.write(key, {})
+
+
+@when('a configuration has the field "{field}" in each of its parts')
+def write_config(context: Any, field: str) -> None:
+    """Write one."""
+    context.users.write('op/config', config_with(field))
+
+
+@when('the configuration and the entry of the pages are written')
+def write_known(context: Any) -> None:
+    """Write them, and keep the lines from here on."""
+    context.logged = LoggedEvents()
+    context.add_cleanup(context.logged.close)
+    context.users.write('op/config', PAGES_CONFIG)
+    context.users.write('servers/one', PAGES_ENTRY)
+
+
+@then('these names are told of as not read, each once')
+def names_told(context: Any) -> None:
+    """Compare the lines."""
+    told = [(one['where'], one['met']) for one in context.logged.fields(UNREAD_NAME)]
+    assert sorted(told) == sorted((row['where'], row['name']) for row in context.table), told
+
+
+@then('no name is told of as not read')
+def no_name_told(context: Any) -> None:
+    """Look at the lines."""
+    assert not context.logged.fields(UNREAD_NAME), context.logged.fields(UNREAD_NAME)
+
+
 @then('the adapter leaves "{header}" to callers')
 def passed(context: Any, header: str) -> None:
     """Look at its dialect."""
--- a/features/subjects/users_platform.py
+++ b/features/subjects/users_platform.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 import tempfile
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
 
@@ -128,6 +129,11 @@
         """Have the operator write a version."""
         self._loop.run(self._put, 'op/config', {**CONFIG, 'version': version})
 
+    def write(self, key: str, document: Mapping[str, Any]) -> None:
+        """Write a key, and let the router hear of it."""
+        self._loop.run(self._put, key, dict(document))
+        self.sleep(0.1)
+
     def enter(self, name: str, state: str = 'ready') -> None:
         """Have a server write its entry."""
         self.enter_with(name, 'state', state)
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -67,6 +67,7 @@
         )
         self.parts.dispatcher.desks = self._desks
         self._settings = settings
+        self._ports = ports
         self._clock = clock
         self._lateness = Lateness(clock)
         self._stopping = Stopping(self.neighbours.others_stay)
@@ -120,6 +121,7 @@
             'crashes': parts.dispatcher.crashes.dump(self._clock.now_s()),
             'limits': known.limits.dump(self._clock.now_s()),
             'unread_headers': sorted(self.links.unread.names),
+            'unread_names': sorted(self._ports.decoder.unread.names),
             'counters': {
                 'forward_open': self._app.open_count,
                 'connections_opened': self.links.links.opened_count,
@@ -134,6 +136,7 @@
                 'cold_withheld': parts.dispatcher.bounds.cold.withheld_count,
                 'limit_withheld': parts.dispatcher.bounds.limits.withheld_count,
                 'unread_headers': len(self.links.unread.names),
+                'unread_names': len(self._ports.decoder.unread.names),
                 'crash_records': len(parts.dispatcher.crashes),
                 'routers_known': len(parts.roster.others) + 1,
                 **parts.dispatcher.counts,
--- a/packages/fleet/src/endivesaddle/fleet/routes/events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/events.py
@@ -35,3 +35,6 @@
 GRANT_LACKING = event(
     1507, 'INFO', 'grant_lacking', "a keeper's grant did not cover what a router asked for"
 )
+NAME_UNREAD = event(
+    4622, 'WARNING', 'stored_name_unread', 'a field or key in the store that nothing here reads'
+)
--- a/packages/fleet/src/endivesaddle/fleet/routes/following.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/following.py
@@ -16,6 +16,7 @@
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
 from endivesaddle.fleet.routes.known import Contact, Known
+from endivesaddle.fleet.routes.unread_names import UnreadNames
 from endivesaddle.fleet.sentinels import Absent
 
 POLL_S = 1.3
@@ -70,6 +71,7 @@
     declared_key: str
     declared_prefix: str
     servers_prefix: str
+    unread: UnreadNames
 
     def declared(self, stored: Stored) -> Declared | None:
         """Return the declarations, None where the key holds something else."""
--- a/tools/bench_forward.py
+++ b/tools/bench_forward.py
@@ -35,6 +35,7 @@
     Target,
 )
 from endivesaddle.fleet.routes.dialect import Dialect
+from endivesaddle.fleet.routes.unread_names import UnreadNames
 from endivesaddle.instances.settings import InstancesSettings
 from endivesaddle.stand_ins.memory_store import MemoryStore
 
@@ -69,6 +70,7 @@
     declared_key = 'declared'
     declared_prefix = 'declared'
     servers_prefix = 'servers/'
+    unread = UnreadNames()
 
     def declared(self, stored: Stored) -> Declared | None:
         """Return the declarations."""
