Count requests that passed a limited or cold server over where servers are chosen

The counters cold_withheld and limit_withheld counted only where a server became bound between the choice and the entry, which hardly happens: they stayed near 0 while hundreds of requests went elsewhere. They count at the choice now; the scenario asks for 100 and failed before.

--- a/features/server_limits.feature
+++ b/features/server_limits.feature
@@ -27,6 +27,7 @@
     And 60 requests a second come at all routers for 4 seconds
     Then server 0 got at most 16 requests in any 4 seconds
     And each of them was answered
+    And the routers counted at least 100 that passed it over
 
   Scenario: A limit holds for as long as the server says so
     Given 5 routers with 3 sidecars and 6 servers in three data centres
--- a/features/steps/server_limits_steps.py
+++ b/features/steps/server_limits_steps.py
@@ -46,6 +46,12 @@
     assert {sink.status for sink in context.play.sinks} == {200}
 
 
+@then('the routers counted at least {least:d} that passed it over')
+def counted(context: Any, least: int) -> None:
+    """Look at their counters."""
+    assert context.play.withheld() >= least, context.play.withheld()
+
+
 @when('server {server:d} names no limit any more')
 def name_none(context: Any, server: int) -> None:
     """Have its next answers be plain."""
--- a/features/subjects/limited_fleet.py
+++ b/features/subjects/limited_fleet.py
@@ -63,6 +63,10 @@
         counts = [sum(1 for later in came if 0 <= later - one <= window_s) for one in came]
         return max(counts, default=0)
 
+    def withheld(self) -> int:
+        """Return how often a router passed a limited server over."""
+        return sum(one.dispatcher.bounds.limits.withheld_count for one in self._routers)
+
     async def _begin_late(self, server: int) -> None:
         saying = self.servers[server]
         before = len(saying.came_unix_s)
--- a/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/cold_starts.py
@@ -100,7 +100,6 @@
     def enter(self, lane: Lane, now_unix_s: float) -> bool:
         """Count a request for a server, or tell False where a cold one bears no more."""
         if not self.takes(lane, now_unix_s):
-            self.withheld_count += 1
             return False
         lane.count_sending(now_unix_s)
         return True
--- a/packages/fleet/src/endivesaddle/fleet/routing/sending_bounds.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/sending_bounds.py
@@ -27,15 +27,16 @@
             shared.settled = settled
 
     def takes(self, lane: Lane, now_unix_s: float) -> bool:
-        """Tell whether a server may be sent a request of this router now."""
-        return self.limits.takes(lane, now_unix_s) and self.cold.takes(lane, now_unix_s)
+        """Tell whether a server may be sent a request of this router now; else count that."""
+        for bound in (self.limits, self.cold):
+            if not bound.takes(lane, now_unix_s):
+                bound.withheld_count += 1
+                return False
+        return True
 
     def enter(self, lane: Lane, now_unix_s: float) -> bool:
         """Count a request for a server, or tell False where it bears no more."""
-        if not self.limits.takes(lane, now_unix_s):
-            self.limits.withheld_count += 1
-            return False
-        if not self.cold.enter(lane, now_unix_s):
+        if not self.limits.takes(lane, now_unix_s) or not self.cold.enter(lane, now_unix_s):
             return False
         self.limits.count(lane, now_unix_s)
         return True
