--- a/features/custody.feature
+++ b/features/custody.feature
@@ -49,6 +49,18 @@
     Then all but a quarter of what lay ahead at the kill is spent
     And at most 300000 tokens are spent
 
+  Scenario: A sidecar that is killed, and a router soon after, strand little
+    The routers passed the sidecar over for two seconds, and looked at it again seconds later: those
+    that were killed meanwhile had not told what they held of its life before.
+    Given 21 routers and 2 sidecars that share a total of 300000 tokens
+    When all routers spend 1000 tokens in turn, 20 times a second for 4 seconds
+    And the sidecar that keeps the account is away for 1 second, and starts anew
+    And all routers spend 1000 tokens in turn, 20 times a second for 1 seconds
+    And router 0 is killed alone and starts anew
+    And all routers spend 1000 tokens in turn, 20 times a second for 30 seconds
+    Then all but a quarter of what lay ahead at the kill is spent
+    And at most 300000 tokens are spent
+
   Scenario: An outage refuses nobody whose use stays the same
     The store is down for all for 8 seconds.  The caller's router asks the sidecar for what it
     left there.
--- a/features/steps/custody_steps.py
+++ b/features/steps/custody_steps.py
@@ -50,6 +50,17 @@
     context.cut.kill(router)
 
 
+@when('the sidecar that keeps the account is away for 1 second, and starts anew')
+def restart_keeper(context: Any) -> None:
+    """Kill the one that has most tokens, and start it again; callers go on meanwhile."""
+    kept = [ahead(keeper) for keeper in context.cut.keepers]
+    context.killed_ahead = max(kept)
+    assert context.killed_ahead > 0
+    context.cut.lose_sidecar(kept.index(max(kept)))
+    spend_in_turn(context, 1000, 20, 1)
+    context.cut.kill_sidecar(kept.index(max(kept)))
+
+
 @when(
     'all routers spend {tokens:d} tokens in turn, {times:d} times a second for {seconds:d} seconds'
 )
--- a/features/subjects/store_relay.py
+++ b/features/subjects/store_relay.py
@@ -94,6 +94,10 @@
         """Lose one router, and start another life of it in its place."""
         self._loop.run(self._kill, router)
 
+    def lose_sidecar(self, sidecar: int) -> None:
+        """Lose a sidecar with what lies there; nobody listens at its address."""
+        self._loop.run(self._lose_sidecar, sidecar)
+
     def kill_sidecar(self, sidecar: int) -> None:
         """Lose a sidecar with what lies there, and start another life of it."""
         self._loop.run(self._start_sidecar, sidecar)
@@ -201,6 +205,10 @@
             self._keeping.append(task)
         self.net.serve(_sidecar(number), handlers)
 
+    async def _lose_sidecar(self, number: int) -> None:
+        self.net.kill(_sidecar(number))
+        self._keeping[number].cancel()
+
     async def _stop_sidecar(self, number: int) -> None:
         await self.keepers[number].release()
         await anyio.sleep(2.5)
