Ask keepers that fell silent until they are back, and tell them at once what is held

Callers of one account were told 503 and 402 while 41 in 100 of its total were granted to a life of a keeper that had ended: its next life frees what was given to nobody once each router on record has told what it holds, routers looked at it 2 to 8 s later (passed over for 2 s, then one look in routers / 5 s, then a second one with the claims), and four that were killed meanwhile never told.

A router now asks a keeper that fell silent each 0.25 s (100 calls a second of all routers together at most), without taking it for the keeper of any group, until it has told what it holds of the lives that ended there, for 20 s at most. Nothing changes in what a claim is or when tokens are freed: it is sent sooner.

--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -20,6 +20,7 @@
 from endivesaddle.fleet.routes.keeper import Keeper
 from endivesaddle.fleet.routes.keepers import LEAVING_S, Keepers
 from endivesaddle.fleet.routes.known import Known
+from endivesaddle.fleet.routes.lost_keepers import LostKeepers
 from endivesaddle.fleet.routes.reservation import Reservation
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
 from endivesaddle.wire import rpcs
@@ -38,6 +39,10 @@
 CALL_S = 0.25
 """A keeper answers within a few ms, or after 0.15 s that it waits for the store; while this
 process's calls take long, it has as much longer, up to ``WAIT_S``."""
+SEEK_S = 0.25
+"""Between calls to a keeper that fell silent, until it is back."""
+SEEKS_PER_S = 100.0
+"""Such calls of all routers in a second to one keeper, at the most."""
 AGAIN_S = 1.0
 """A caller whose request found no tokens is told to come back after this."""
 
@@ -73,18 +78,14 @@
         self._lives: dict[str, str] = {}
         self._ended: set[str] = set()
         self._asked_of: dict[str, tuple[str, ...]] = {}
+        self._lost = LostKeepers()
         self._stops = anyio.Event()
 
     async def run(self) -> None:
-        """Look at what is held until cancelled."""
-        while True:
-            if self._parts.keepers.known:
-                await self.look()
-            if self.releasing:
-                await anyio.sleep(LEAVING_LOOK_S)
-                continue
-            with anyio.move_on_after(max(LOOK_S, self.routers / LOOKS_PER_S)):
-                await self._stops.wait()
+        """Look at what is held, and for keepers that fell silent, until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._seek)
+            await self._look_on()
 
     async def reserve(
         self, account: RouteAccount, tokens: int, request_id: str = ''
@@ -136,6 +137,41 @@
             for name, held in self._accounts.items()
         }
 
+    async def _look_on(self) -> None:
+        while True:
+            if self._parts.keepers.known:
+                await self.look()
+            if self.releasing:
+                await anyio.sleep(LEAVING_LOOK_S)
+                continue
+            with anyio.move_on_after(max(LOOK_S, self.routers / LOOKS_PER_S)):
+                await self._stops.wait()
+
+    async def _seek(self) -> None:
+        """Ask keepers that fell silent, and tell those that are back what is held of them."""
+        while True:
+            await anyio.sleep(max(SEEK_S, self.routers / SEEKS_PER_S))
+            for address in self._lost.sought(self._parts.clock.now_s()):
+                await self._tell_held(address)
+
+    async def _tell_held(self, address: str) -> None:
+        """Ask one that may be back, without taking it for the keeper of any group."""
+        request = self._request()
+        request.keeper = self._lives.get(address, '')
+        for name, held in self._accounts.items():
+            if any(drawn.address == address and drawn.out for drawn in held.drawn.values()):
+                request.words.append(self._word(name, held, address))
+        request.claims.extend(self._claims(address))
+        try:
+            reply = await self._call(address, request)
+        except (FleetError, TimeoutError):
+            # It was told of when the first call failed.
+            return
+        if reply.lifetime not in self._ended:
+            self._take_in(address, request, reply)
+            told = {claim.keeper for claim in request.claims}
+            self._lost.answered(address, bool(told), self._parts.clock.now_s())
+
     def _account(self, name: str) -> DrawnAccount:
         held = self._accounts.get(name)
         if held is None:
@@ -267,6 +303,7 @@
             )
             if not own_delay:
                 self._parts.keepers.avoid(address)
+                self._lost.lost(address, self._parts.clock.now_s())
             return None
         if reply.lifetime in self._ended:
             return None
