--- a/features/subjects/held_request.py
+++ b/features/subjects/held_request.py
@@ -2,8 +2,8 @@
 
 import itertools
 
+from endivesaddle.fleet.routes.advertised_limits import AdvertisedLimits
 from endivesaddle.fleet.routes.left_servers import LeftServers
-from endivesaddle.fleet.routes.named_limits import NamedLimits
 from endivesaddle.fleet.routes.news import News, NewsSources
 from endivesaddle.fleet.routing.crash_records import CrashRecords, EndedRun
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
@@ -22,8 +22,8 @@
         self.now_unix_s = 1_700_000_000.0
         self.records = CrashRecords(ForwardSettings())
         self._other = CrashRecords(ForwardSettings())
-        self._news = News(NewsSources(self.records, LeftServers(), NamedLimits()), self)
-        self._other_news = News(NewsSources(self._other, LeftServers(), NamedLimits()), self)
+        self._news = News(NewsSources(self.records, LeftServers(), AdvertisedLimits()), self)
+        self._other_news = News(NewsSources(self._other, LeftServers(), AdvertisedLimits()), self)
         self._lives = itertools.count()
         for _ in range(ends):
             self.now_unix_s += 1
--- a/features/subjects/limited_server.py
+++ b/features/subjects/limited_server.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
+from endivesaddle.fleet.routes.advertised_limits import AdvertisedLimits
 from endivesaddle.fleet.routes.declared import RouteServer
-from endivesaddle.fleet.routes.named_limits import NamedLimits
 from endivesaddle.fleet.routing.lanes import Lane
 from endivesaddle.fleet.routing.limit_shares import LimitShares
 
@@ -24,7 +24,7 @@
         self._random = Random(17)
         self._limit = limit
         names = [f'10.0.0.{number}:1' for number in range(routers)]
-        self._named = [NamedLimits() for _ in names]
+        self._named = [AdvertisedLimits() for _ in names]
         self._shares = [
             self._share(policy, named, name, names)
             for named, name in zip(self._named, names, strict=True)
@@ -64,9 +64,11 @@
 
     def _name(self, now_unix_s: float) -> None:
         for named in self._named:
-            named.named(SERVER.life, self._limit, now_unix_s)
+            named.advertised(SERVER.life, self._limit, now_unix_s)
 
-    def _share(self, policy: str, named: NamedLimits, name: str, names: list[str]) -> LimitShares:
+    def _share(
+        self, policy: str, named: AdvertisedLimits, name: str, names: list[str]
+    ) -> LimitShares:
         share = LimitShares(policy, named, name)
         # One in twenty of the others is unknown: it started just now, or left its entry.
         heard = [other for other in names if self._random.random() >= UNKNOWN_SHARE]
@@ -81,7 +83,7 @@
     def __init__(self) -> None:
         """Start without a limit."""
         self.last_per_s = 0.0
-        self._named = NamedLimits()
+        self._named = AdvertisedLimits()
         self._now_unix_s = START_UNIX_S
 
     def hear(self) -> None:
@@ -89,7 +91,7 @@
         for number in range(100):
             self._now_unix_s += WINDOW_S / 100
             self.last_per_s = 10 + number % 2 / 2
-            self._named.named(SERVER.life, self.last_per_s, self._now_unix_s)
+            self._named.advertised(SERVER.life, self.last_per_s, self._now_unix_s)
 
     @property
     def told(self) -> int:
--- a/packages/fleet/src/endivesaddle/fleet/routes/known.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/known.py
@@ -4,11 +4,11 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import events, store_events
+from endivesaddle.fleet.routes.advertised_limits import AdvertisedLimits
 from endivesaddle.fleet.routes.book import RouteBook
 from endivesaddle.fleet.routes.declared import Declared, RouteServer
 from endivesaddle.fleet.routes.evacuations import Evacuations
 from endivesaddle.fleet.routes.left_servers import LeftLife, LeftServers
-from endivesaddle.fleet.routes.named_limits import NamedLimits
 
 Listener = Callable[[], None]
 
@@ -31,7 +31,7 @@
         self.listeners: list[Listener] = []
         self.evacuations = Evacuations()
         self.evacuations.listeners.append(self._tell)
-        self.limits = NamedLimits()
+        self.limits = AdvertisedLimits()
         self.left = LeftServers()
         self.left.listeners.append(self._said_it_leaves)
         self._written: dict[str, int] = {}
--- a/packages/fleet/src/endivesaddle/fleet/routes/lost_keepers.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/lost_keepers.py
@@ -21,13 +21,13 @@
         self._until_unix_s: dict[str, float] = {}
         self._found: set[str] = set()
 
-    def lost(self, address: str, now_unix_s: float) -> None:
+    def note_silent(self, address: str, now_unix_s: float) -> None:
         """Note that a keeper did not answer."""
         if address not in self._until_unix_s or address in self._found:
             self._found.discard(address)
             self._until_unix_s[address] = now_unix_s + SOUGHT_S
 
-    def answered(self, address: str, knows_ended: bool, now_unix_s: float) -> None:
+    def note_answer(self, address: str, knows_ended: bool, now_unix_s: float) -> None:
         """Note an answer, and whether the keeper ``knows_ended`` lives before its own."""
         if address not in self._until_unix_s:
             return
@@ -37,7 +37,7 @@
             self._found.add(address)
             self._until_unix_s[address] = now_unix_s + FOUND_S
 
-    def sought(self, now_unix_s: float) -> list[str]:
+    def due(self, now_unix_s: float) -> list[str]:
         """Return the keepers to ask now."""
         for address, until_unix_s in list(self._until_unix_s.items()):
             if until_unix_s <= now_unix_s:
--- a/packages/fleet/src/endivesaddle/fleet/routes/news.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/news.py
@@ -11,8 +11,8 @@
 import anyio
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.routes.advertised_limits import AdvertisedLimit, AdvertisedLimits
 from endivesaddle.fleet.routes.left_servers import LeftLife, LeftServers
-from endivesaddle.fleet.routes.named_limits import NamedLimit, NamedLimits
 from endivesaddle.fleet.routing.crash_records import CrashRecord, CrashRecords, EndedRun
 from endivesaddle.wire import routers_pb2
 
@@ -26,7 +26,7 @@
 
     crashes: CrashRecords
     left: LeftServers
-    limits: NamedLimits
+    limits: AdvertisedLimits
 
 
 class News:
@@ -81,8 +81,8 @@
         for left in news.left:
             self._left.add(LeftLife(left.lifetime, left.born_unix_ms), source)
         for limit in news.limits:
-            said_unix_s = now_unix_s - max(0.0, limit.said_s)
-            self._limits.add(NamedLimit(limit.life, limit.per_s, said_unix_s), source)
+            observed_unix_s = now_unix_s - max(0.0, limit.age_s)
+            self._limits.merge(AdvertisedLimit(limit.life, limit.per_s, observed_unix_s), source)
         if before != self._counts():
             self._changed.set()
             self._changed = anyio.Event()
@@ -94,7 +94,7 @@
         now_unix_s = self._clock.now_s()
         for limit in self._limits.since(number):
             yield routers_pb2.LimitWord(
-                life=limit.life, per_s=limit.per_s, said_s=now_unix_s - limit.said_unix_s
+                life=limit.life, per_s=limit.per_s, age_s=now_unix_s - limit.observed_unix_s
             )
 
     def _crash_words(self, records: Iterable[CrashRecord]) -> Iterable[routers_pb2.CrashWord]:
--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -151,7 +151,7 @@
         """Ask keepers that fell silent, and tell those that are back what is held of them."""
         while True:
             await anyio.sleep(max(SEEK_S, self.routers / SEEKS_PER_S))
-            for address in self._lost.sought(self._parts.clock.now_s()):
+            for address in self._lost.due(self._parts.clock.now_s()):
                 await self._tell_held(address)
 
     async def _tell_held(self, address: str) -> None:
@@ -170,7 +170,7 @@
         if reply.lifetime not in self._ended:
             self._take_in(address, request, reply)
             told = {claim.keeper for claim in request.claims}
-            self._lost.answered(address, bool(told), self._parts.clock.now_s())
+            self._lost.note_answer(address, bool(told), self._parts.clock.now_s())
 
     def _account(self, name: str) -> DrawnAccount:
         held = self._accounts.get(name)
@@ -303,7 +303,7 @@
             )
             if not own_delay:
                 self._parts.keepers.avoid(address)
-                self._lost.lost(address, self._parts.clock.now_s())
+                self._lost.note_silent(address, self._parts.clock.now_s())
             return None
         if reply.lifetime in self._ended:
             return None
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -19,7 +19,7 @@
 from endivesaddle.fleet.routing.retry_share import RetryShare
 from endivesaddle.fleet.routing.sending_bounds import SendingBounds
 from endivesaddle.fleet.routing.sent_parts import SentParts
-from endivesaddle.fleet.routing.server_signals import Said, hear
+from endivesaddle.fleet.routing.server_signals import SignalHeader, apply_signals
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
 
 UNAVAILABLE = 503
@@ -90,8 +90,8 @@
         """Note what the server told of itself in the head of its answer."""
         # Nobody knows when the answer of another request was begun.
         sent_unix_s = self._entered_unix_s if answer.own else 0.0
-        heading = Said('', answer.status, sent_unix_s, self._dispatcher.now_s())
-        hear(answer.signals, heading, self.lane, self._dispatcher.known)
+        heading = SignalHeader('', answer.status, sent_unix_s, self._dispatcher.now_s())
+        apply_signals(answer.signals, heading, self.lane, self._dispatcher.known)
 
     def misdirected(self) -> None:
         """Note that the address belongs to another server now."""
--- a/packages/fleet/src/endivesaddle/fleet/routing/limit_shares.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/limit_shares.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from endivesaddle.fleet.registry import Registry
-from endivesaddle.fleet.routes.named_limits import MOST_LIVES, NamedLimits
+from endivesaddle.fleet.routes.advertised_limits import MOST_LIVES, AdvertisedLimits
 from endivesaddle.fleet.routing.lanes import Lane
 from endivesaddle.fleet.routing.rendezvous import weight
 
@@ -58,7 +58,7 @@
     hear of the others.
     """
 
-    def __init__(self, policy: str, named: NamedLimits, own: str) -> None:
+    def __init__(self, policy: str, named: AdvertisedLimits, own: str) -> None:
         """Decide by a registered policy for the router ``own``."""
         self.own = own
         self.routers: Collection[str] = (own,)
--- a/packages/fleet/src/endivesaddle/fleet/routing/server_signals.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/server_signals.py
@@ -19,7 +19,7 @@
 YES = '1'
 
 
-class Said(NamedTuple):
+class SignalHeader(NamedTuple):
     """One signal of an answer; ``text`` is empty where the answer has no such header.
 
     ``sent_unix_s`` is when the request was sent, 0 for unknown.
@@ -31,36 +31,36 @@
     now_unix_s: float
 
 
-Signal = Callable[[Said, Lane, Known], None]
+Signal = Callable[[SignalHeader, Lane, Known], None]
 
 server_signals: Registry[Signal] = Registry('server signal')
 
 
 @server_signals.add('leaving')
-def leaving(said: Said, lane: Lane, known: Known) -> None:
+def leaving(header: SignalHeader, lane: Lane, known: Known) -> None:
     """Note for all routers that a server wants no more requests in this life."""
-    if said.text.strip() == YES:
+    if header.text.strip() == YES:
         known.left.add(LeftLife(lane.server.lifetime, lane.server.born_unix_ms), ANSWER)
 
 
 @server_signals.add('retry_after')
-def retry_after(said: Said, lane: Lane, known: Known) -> None:
+def retry_after(header: SignalHeader, lane: Lane, known: Known) -> None:
     """Note for this router, to which it was said, that a server wants none for a while."""
-    wanted_in_s = number(said.text) if said.status == UNAVAILABLE else None
+    wanted_in_s = number(header.text) if header.status == UNAVAILABLE else None
     if wanted_in_s:
-        lane.unwanted_until_unix_s = said.now_unix_s + wanted_in_s
+        lane.unwanted_until_unix_s = header.now_unix_s + wanted_in_s
         events.UNWANTED.log(server=lane.server.lifetime, wanted_in_s=round(wanted_in_s, 3))
 
 
 @server_signals.add('limit')
-def limit(said: Said, lane: Lane, known: Known) -> None:
+def limit(header: SignalHeader, lane: Lane, known: Known) -> None:
     """Note for all routers how many requests a second a server takes from them together."""
-    if not said.text:
-        known.limits.unnamed(lane.server.life, said.sent_unix_s, said.now_unix_s)
+    if not header.text:
+        known.limits.withdrawn(lane.server.life, header.sent_unix_s, header.now_unix_s)
         return
-    per_s = number(said.text)
+    per_s = number(header.text)
     if per_s is not None:
-        known.limits.named(lane.server.life, per_s, said.now_unix_s)
+        known.limits.advertised(lane.server.life, per_s, header.now_unix_s)
 
 
 _ALL = tuple((name, server_signals.find(name)) for name in server_signals)
@@ -78,7 +78,9 @@
     return read if math.isfinite(read) and read >= 0 else None
 
 
-def hear(texts: Mapping[str, str], heading: Said, lane: Lane, known: Known) -> None:
+def apply_signals(
+    texts: Mapping[str, str], heading: SignalHeader, lane: Lane, known: Known
+) -> None:
     """Note all signals of an answer; ``texts`` has those that it gives, by name."""
     for name, signal in _ALL:
         signal(heading._replace(text=texts.get(name, '')), lane, known)
