--- a/features/custody.feature
+++ b/features/custody.feature
@@ -61,6 +61,18 @@
     Then all but a quarter of what lay ahead at the kill is spent
     And at most 300000 tokens are spent
 
+  Scenario: A router that did not meet the silence of a killed sidecar tells its next life at once
+    It had not called while the sidecar was away, so that it did not ask whether it is back.  It hears
+    of the life that ended with its next draw, and is killed a second later.
+    Given 21 routers and 2 sidecars that share a total of 300000 tokens
+    When all routers spend 1000 tokens in turn, 20 times a second for 4 seconds
+    And the sidecar that keeps the account is away for 1 second while router 0 is idle, and starts anew
+    And all routers spend 1000 tokens in turn, 20 times a second for 1 seconds
+    And router 0 is killed alone and starts anew
+    And all routers spend 1000 tokens in turn, 20 times a second for 30 seconds
+    Then all but a quarter of what lay ahead at the kill is spent
+    And at most 300000 tokens are spent
+
   Scenario: An outage refuses nobody whose use stays the same
     The store is down for all for 8 seconds.  The caller's router asks the sidecar for what it
     left there.
--- a/features/steps/custody_steps.py
+++ b/features/steps/custody_steps.py
@@ -53,11 +53,27 @@
 @when('the sidecar that keeps the account is away for 1 second, and starts anew')
 def restart_keeper(context: Any) -> None:
     """Kill the one that has most tokens, and start it again; callers go on meanwhile."""
+    _restart_keeper(context, list(range(len(context.cut.routers))))
+
+
+@when(
+    'the sidecar that keeps the account is away for 1 second while router {router:d} is idle, '
+    'and starts anew'
+)
+def restart_keeper_unseen(context: Any, router: int) -> None:
+    """Have callers go on at all other routers meanwhile."""
+    busy = [number for number, _ in enumerate(context.cut.routers) if number != router]
+    _restart_keeper(context, busy)
+
+
+def _restart_keeper(context: Any, busy: list[int]) -> None:
     kept = [ahead(keeper) for keeper in context.cut.keepers]
     context.killed_ahead = max(kept)
     assert context.killed_ahead > 0
     context.cut.lose_sidecar(kept.index(max(kept)))
-    spend_in_turn(context, 1000, 20, 1)
+    for number in range(20):
+        context.cut.spend(busy[number % len(busy)], 1000)
+        context.cut.sleep(1 / 20)
     context.cut.kill_sidecar(kept.index(max(kept)))
 
 
