Have a keeper's next life ask routers what they hold of the one that ended

Callers were told 503 and 402 while 41 in 100 of an account's total stayed granted to a life of a keeper that had ended. What routers did about it of themselves, asking silent keepers until they were back, did not help these and is taken back.

What a claim is, and when tokens are free, is as before: a router that was asked takes in nothing more of the ended life, and each router on record has to have told.

--- a/features/custody.feature
+++ b/features/custody.feature
@@ -62,12 +62,11 @@
     And at most 300000 tokens are spent
 
   Scenario: A router that did not meet the silence of a killed sidecar tells its next life at once
-    It had not called while the sidecar was away, so that it did not ask whether it is back.  It hears
-    of the life that ended with its next draw, and is killed a second later.
+    It had not called while the sidecar was away, and it has no reason to call before it is killed.
     Given 21 routers and 2 sidecars that share a total of 300000 tokens
     When all routers spend 1000 tokens in turn, 20 times a second for 4 seconds
     And the sidecar that keeps the account is away for 1 second while router 0 is idle, and starts anew
-    And all routers spend 1000 tokens in turn, 20 times a second for 1 seconds
+    And 0.5 seconds go by for all
     And router 0 is killed alone and starts anew
     And all routers spend 1000 tokens in turn, 20 times a second for 30 seconds
     Then all but a quarter of what lay ahead at the kill is spent
--- a/features/steps/custody_steps.py
+++ b/features/steps/custody_steps.py
@@ -87,6 +87,12 @@
         context.cut.sleep(1 / times)
 
 
+@when('{seconds:g} seconds go by for all')
+def wait(context: Any, seconds: float) -> None:
+    """Let time pass."""
+    context.cut.sleep(seconds)
+
+
 @then('all but a quarter of what lay ahead at the kill is spent')
 def most_spent(context: Any) -> None:
     """Compare with the total."""
--- a/features/subjects/cut_router.py
+++ b/features/subjects/cut_router.py
@@ -96,7 +96,7 @@
         self.known = Known()
         own = Instance(ROUTER, name, address, 'porto-a')
         self.roster = Roster(self.way, clock, own)
-        self.keeper = Keeper(KeeperLife(name, address, self.way, clock))
+        self.keeper = Keeper(KeeperLife(name, address, self.way, clock, net.peers(address)))
         keepers = Keepers(self.roster, address, clock)
         peers = TimedPeers(net.peers(address), clock)
         self.peers = peers
@@ -131,6 +131,7 @@
         handlers = Handlers()
         self._neighbours.register(handlers)
         self.keeper.register(handlers)
+        self.wallet.register(handlers)
         answer_store(handlers, self.cut, self._clock)
         self._net.serve(self.address, handlers)
         parts = (self.way, self.roster, self.keeper, self.wallet, self._neighbours)
--- a/features/subjects/store_relay.py
+++ b/features/subjects/store_relay.py
@@ -192,7 +192,8 @@
         answer_store(handlers, self.store, self._clock)
         self._sidecar_lives += 1
         name = f'sidecar-{self._sidecar_lives}'
-        keeper = Keeper(KeeperLife(name, _sidecar(number), self.store, self._clock))
+        address = _sidecar(number)
+        keeper = Keeper(KeeperLife(name, address, self.store, self._clock, self.net.peers(address)))
         keeper.register(handlers)
         Board(self._clock, name).register(handlers)
         task = asyncio.ensure_future(keeper.run())
--- a/packages/daemon/src/endivesaddle/daemon/forward_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_parts.py
@@ -48,7 +48,7 @@
     dispatcher = Dispatcher(settings.forward, known, clock, place.lifetime)
     own = Instance(ROUTER, place.lifetime, place.listen, settings.forward.forward_data_centre)
     roster = Roster(store, clock, own)
-    keeper = Keeper(KeeperLife(place.lifetime, place.listen, store, clock))
+    keeper = Keeper(KeeperLife(place.lifetime, place.listen, store, clock, peers))
     keepers = Keepers(roster, place.listen, clock)
     wallet = Wallet(WalletParts(place.lifetime, place.listen, known, keepers, keeper, peers, clock))
     return Decisions(store, known, contact, dispatcher, roster, wallet, keeper)
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -94,6 +94,7 @@
         handlers = Handlers()
         self.neighbours.register(handlers)
         self.parts.keeper.register(handlers)
+        self.parts.wallet.register(handlers)
         answer_store(handlers, self.parts.store.direct, self._clock)
         async with (
             serve_calls(handlers, self._settings.place.listen, self._settings.links),
--- a/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
+++ b/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
@@ -28,6 +28,7 @@
 )
 from endivesaddle.fleet.routes.shared_polls import SharedPolls
 from endivesaddle.fleet.routing.engine_desk import EngineDesk
+from endivesaddle.instances import GrpcPeers
 from endivesaddle.instances.server import serve as serve_calls
 from endivesaddle.instances.settings import InstancesSettings
 
@@ -62,7 +63,10 @@
         self._polls = SharedPolls(store, self._clock)
         own = Instance(SIDECAR, settings.lifetime, settings.listen, settings.data_centre)
         self._entry = Entry(store, self._clock, own, SIDECAR_LEASE_S)
-        self._keeper = Keeper(KeeperLife(settings.lifetime, settings.listen, store, self._clock))
+        peers = GrpcPeers(settings.links, self._clock)
+        self._keeper = Keeper(
+            KeeperLife(settings.lifetime, settings.listen, store, self._clock, peers)
+        )
 
     async def run(self) -> None:
         """Answer until a signal says stop."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/grant_group.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grant_group.py
@@ -14,7 +14,7 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreUnsure
-from endivesaddle.fleet.ports import KeyStore
+from endivesaddle.fleet.ports import Peers
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.grants import (
     NO_RECORDS,
@@ -25,6 +25,7 @@
     decode,
     encode,
 )
+from endivesaddle.fleet.routes.remote_store import ForwardStore
 from endivesaddle.fleet.sentinels import Absent, Conflict
 
 PREFIX = 'endivesaddle/grants/'
@@ -58,12 +59,16 @@
 
 
 class KeeperLife(NamedTuple):
-    """One life of a keeper: its name, its address, its store, and its clock."""
+    """One life of a keeper: its name, its address, its store, its clock, and its calls to routers.
+
+    Without ``peers`` it waits until routers call.
+    """
 
     lifetime: str
     address: str
-    store: KeyStore
+    store: ForwardStore
     clock: Clock
+    peers: Peers | None = None
 
 
 class GrantGroup:
@@ -149,6 +154,13 @@
         """
         return self._records.ended_at(self._life.address, self._life.lifetime)
 
+    def claim(self, life: str, router: str, out: Mapping[str, int]) -> None:
+        """Take in all that a router holds of an ended life, by account: its last word on that."""
+        claims = self.claims.setdefault(life, {})
+        if router not in claims:
+            claims[router] = out
+            self._asked.set()
+
     def _pause_s(self) -> float:
         if not self.grants:
             # Nobody keeps an idle instance awake; a new account wakes it.
--- a/packages/fleet/src/endivesaddle/fleet/routes/keeper.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/keeper.py
@@ -12,6 +12,7 @@
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.grant_group import GROUPS, GrantGroup, KeeperLife, group_of
 from endivesaddle.fleet.routes.grants import LEAST_PART, Grant
+from endivesaddle.fleet.routes.held_claims import HeldClaims
 from endivesaddle.wire import rpcs
 from endivesaddle.wire.routers_pb2 import DrawAnswer, DrawReply, DrawRequest, DrawWord
 
@@ -59,6 +60,7 @@
         self.leaving = False
         self._life = life
         self._groups = [GrantGroup(number, life) for number in range(GROUPS)]
+        self._held_claims = HeldClaims(life, self._groups)
         self._asked_unix_s: dict[int, float] = {}
         self._drawn: dict[str, dict[str, _Drawn]] = {}
         self._heard_unix_s: dict[str, float] = {}
@@ -72,6 +74,7 @@
         async with anyio.create_task_group() as group:
             for one in self._groups:
                 group.start_soon(one.run)
+            group.start_soon(self._held_claims.run)
 
     async def draw(self, asked: DrawRequest) -> DrawReply:
         """Take in what a router tells, and give it what it needs."""
@@ -119,7 +122,7 @@
     def _claim(self, asked: DrawRequest) -> None:
         for claim in asked.claims:
             for one in self._groups:
-                one.claims.setdefault(claim.keeper, {})[asked.lifetime] = dict(claim.out)
+                one.claim(claim.keeper, asked.lifetime, dict(claim.out))
 
     def _look(self) -> None:
         latest_unix_s = self._life.clock.now_s() - KEPT_S
--- a/packages/fleet/src/endivesaddle/fleet/routes/sidecar_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/sidecar_events.py
@@ -1,4 +1,4 @@
-"""Log events of a router's contact with sidecars."""
+"""Log events between routers and sidecars."""
 
 from endivesaddle.fleet.events import event
 
@@ -11,3 +11,9 @@
 KEEPER_SILENT = event(
     1508, 'INFO', 'keeper_silent', 'the keeper of an account did not answer; the next is asked'
 )
+HELD_TOLD = event(
+    1511, 'INFO', 'held_told', "a router told what it holds of this keeper's lives that ended"
+)
+HELD_UNASKED = event(
+    1512, 'INFO', 'held_unasked', 'routers could not be asked what they hold; tried again'
+)
--- a/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/wallet.py
@@ -11,6 +11,7 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import FleetError
+from endivesaddle.fleet.ports import Handlers
 from endivesaddle.fleet.routes import events, sidecar_events
 from endivesaddle.fleet.routes.call_times import TimedPeers
 from endivesaddle.fleet.routes.declared import RouteAccount
@@ -20,11 +21,18 @@
 from endivesaddle.fleet.routes.keeper import Keeper
 from endivesaddle.fleet.routes.keepers import LEAVING_S, Keepers
 from endivesaddle.fleet.routes.known import Known
-from endivesaddle.fleet.routes.lost_keepers import LostKeepers
 from endivesaddle.fleet.routes.reservation import Reservation
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
 from endivesaddle.wire import rpcs
-from endivesaddle.wire.routers_pb2 import Claim, DrawAnswer, DrawReply, DrawRequest, DrawWord
+from endivesaddle.wire.routers_pb2 import (
+    Claim,
+    DrawAnswer,
+    DrawReply,
+    DrawRequest,
+    DrawWord,
+    HeldReply,
+    HeldRequest,
+)
 
 LOOK_S = 1.0
 """Between looks at what is held; what was spent is on the way to the store within it."""
@@ -39,10 +47,6 @@
 CALL_S = 0.25
 """A keeper answers within a few ms, or after 0.15 s that it waits for the store; while this
 process's calls take long, it has as much longer, up to ``WAIT_S``."""
-SEEK_S = 0.25
-"""Between calls to a keeper that fell silent, until it is back."""
-SEEKS_PER_S = 100.0
-"""Such calls of all routers in a second to one keeper, at the most."""
 AGAIN_S = 1.0
 """A caller whose request found no tokens is told to come back after this."""
 
@@ -78,14 +82,22 @@
         self._lives: dict[str, str] = {}
         self._ended: set[str] = set()
         self._asked_of: dict[str, tuple[str, ...]] = {}
-        self._lost = LostKeepers()
         self._stops = anyio.Event()
 
+    def register(self, handlers: Handlers) -> None:
+        """Answer keepers whose life before has ended."""
+        handlers.answer(rpcs.HELD, self._tell_held)
+
     async def run(self) -> None:
-        """Look at what is held, and for keepers that fell silent, until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._seek)
-            await self._look_on()
+        """Look at what is held until cancelled."""
+        while True:
+            if self._parts.keepers.known:
+                await self.look()
+            if self.releasing:
+                await anyio.sleep(LEAVING_LOOK_S)
+                continue
+            with anyio.move_on_after(max(LOOK_S, self.routers / LOOKS_PER_S)):
+                await self._stops.wait()
 
     async def reserve(
         self, account: RouteAccount, tokens: int, request_id: str = ''
@@ -137,40 +149,11 @@
             for name, held in self._accounts.items()
         }
 
-    async def _look_on(self) -> None:
-        while True:
-            if self._parts.keepers.known:
-                await self.look()
-            if self.releasing:
-                await anyio.sleep(LEAVING_LOOK_S)
-                continue
-            with anyio.move_on_after(max(LOOK_S, self.routers / LOOKS_PER_S)):
-                await self._stops.wait()
-
-    async def _seek(self) -> None:
-        """Ask keepers that fell silent, and tell those that are back what is held of them."""
-        while True:
-            await anyio.sleep(max(SEEK_S, self.routers / SEEKS_PER_S))
-            for address in self._lost.due(self._parts.clock.now_s()):
-                await self._tell_held(address)
-
-    async def _tell_held(self, address: str) -> None:
-        """Ask one that may be back, without taking it for the keeper of any group."""
-        request = self._request()
-        request.keeper = self._lives.get(address, '')
-        for name, held in self._accounts.items():
-            if any(drawn.address == address and drawn.out for drawn in held.drawn.values()):
-                request.words.append(self._word(name, held, address))
-        request.claims.extend(self._claims(address))
-        try:
-            reply = await self._call(address, request)
-        except (FleetError, TimeoutError):
-            # It was told of when the first call failed.
-            return
-        if reply.lifetime not in self._ended:
-            self._take_in(address, request, reply)
-            told = {claim.keeper for claim in request.claims}
-            self._lost.note_answer(address, bool(told), self._parts.clock.now_s())
+    async def _tell_held(self, asked: HeldRequest) -> HeldReply:
+        """Tell what is held of lives that ended; nothing more of theirs is taken in."""
+        self._ended.update(asked.ended)
+        claims = [self._claim(life) for life in asked.ended]
+        return HeldReply(lifetime=self._parts.lifetime, claims=claims)
 
     def _account(self, name: str) -> DrawnAccount:
         held = self._accounts.get(name)
@@ -218,13 +201,11 @@
 
     def _claims(self, address: str) -> list[Claim]:
         """Return what is held of the ended lives that a keeper asked about."""
-        return [
-            Claim(
-                keeper=life,
-                out={name: held.out_of(life) for name, held in self._accounts.items()},
-            )
-            for life in self._asked_of.get(address, ())
-        ]
+        return [self._claim(life) for life in self._asked_of.get(address, ())]
+
+    def _claim(self, life: str) -> Claim:
+        out = {name: held.out_of(life) for name, held in self._accounts.items()}
+        return Claim(keeper=life, out=out)
 
     def _to_tell(self, name: str, held: DrawnAccount, address: str) -> bool:
         usable = self._parts.keepers.usable(address)
@@ -303,7 +284,6 @@
             )
             if not own_delay:
                 self._parts.keepers.avoid(address)
-                self._lost.note_silent(address, self._parts.clock.now_s())
             return None
         if reply.lifetime in self._ended:
             return None
--- a/packages/wire/src/endivesaddle/wire/routers_grpc.py
+++ b/packages/wire/src/endivesaddle/wire/routers_grpc.py
@@ -22,6 +22,10 @@
     async def Draw(self, stream: 'grpclib.server.Stream[routers_pb2.DrawRequest, routers_pb2.DrawReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Held(self, stream: 'grpclib.server.Stream[routers_pb2.HeldRequest, routers_pb2.HeldReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Board(self, stream: 'grpclib.server.Stream[routers_pb2.BoardRequest, routers_pb2.BoardReply]') -> None:
         pass
@@ -56,6 +60,12 @@
                 routers_pb2.DrawRequest,
                 routers_pb2.DrawReply,
             ),
+            '/endivesaddle.routers.Routers/Held': grpclib.const.Handler(
+                self.Held,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                routers_pb2.HeldRequest,
+                routers_pb2.HeldReply,
+            ),
             '/endivesaddle.routers.Routers/Board': grpclib.const.Handler(
                 self.Board,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -104,6 +114,12 @@
             routers_pb2.DrawRequest,
             routers_pb2.DrawReply,
         )
+        self.Held = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/endivesaddle.routers.Routers/Held',
+            routers_pb2.HeldRequest,
+            routers_pb2.HeldReply,
+        )
         self.Board = grpclib.client.UnaryUnaryMethod(
             channel,
             '/endivesaddle.routers.Routers/Board',
--- a/packages/wire/src/endivesaddle/wire/rpcs.py
+++ b/packages/wire/src/endivesaddle/wire/rpcs.py
@@ -50,6 +50,7 @@
 
 WORD = Rpc(f'{_ROUTERS}Exchange', routers_pb2.Word, routers_pb2.WordReply)
 DRAW = Rpc(f'{_ROUTERS}Draw', routers_pb2.DrawRequest, routers_pb2.DrawReply)
+HELD = Rpc(f'{_ROUTERS}Held', routers_pb2.HeldRequest, routers_pb2.HeldReply)
 BOARD = Rpc(f'{_ROUTERS}Board', routers_pb2.BoardRequest, routers_pb2.BoardReply)
 ENTER = Rpc(f'{_ROUTERS}Enter', routers_pb2.EnterRequest, routers_pb2.EnterReply)
 STORE = Rpc(f'{_ROUTERS}Store', routers_pb2.StoreAsk, routers_pb2.StoreReply)
@@ -63,5 +64,5 @@
     CLAIM, ASK, NOTE, SETTLE, COPY, FIND, TRANSFER, SEAL_CLAIMS,
     START, FOLLOW, CANCEL, DRAIN, ORDER, REPORT, SEAL_RUNS,
     BEAT, EXCHANGE, PUSH, PULL, DUMP,
-    WORD, BOARD, DRAW, ENTER, STORE, READ, DECLARATIONS,
+    WORD, BOARD, DRAW, HELD, ENTER, STORE, READ, DECLARATIONS,
 )  # fmt: skip
