--- a/tools/checks.py
+++ b/tools/checks.py
@@ -11,13 +11,17 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from concurrent import futures
+from functools import partial
 from types import MappingProxyType
 from typing import NamedTuple
 
 BIN = pathlib.Path(sys.executable).parent
 WORKERS = max(2, os.cpu_count() or 2)
 PROGRESS_S = 10.0
+SLOWEST = 5
+"""Files and checks that are named with the time that they took."""
 KNOWN_RED = pathlib.Path('KNOWN-RED.txt')
 CHECKS = MappingProxyType(
     {
@@ -92,6 +96,21 @@
     return 1 if failed else 0
 
 
+class Run(NamedTuple):
+    """One check or feature file: what it came to, and how long it took."""
+
+    name: str
+    took_s: float
+    outcomes: list[Outcome]
+
+
+def run(name: str, make: Callable[[], list[Outcome]]) -> Run:
+    """Make one check, or run one feature file."""
+    began_s = time.monotonic()
+    outcomes = make()
+    return Run(name, time.monotonic() - began_s, outcomes)
+
+
 class Progress:
     """Says every few seconds how far the runs are."""
 
@@ -111,16 +130,20 @@
         print(f'{ended} of {self._count} files and checks, {results}', flush=True)
 
 
-def collect(runs: list[futures.Future[list[Outcome]]]) -> list[Outcome]:
-    """Wait for all runs, saying meanwhile how far they are."""
+def collect(runs: list[futures.Future[Run]]) -> list[Outcome]:
+    """Wait for all runs, saying meanwhile how far they are; name the slowest."""
+    ended: list[Run] = []
     outcomes: list[Outcome] = []
     progress = Progress(len(runs))
     waiting = set(runs)
     while waiting:
         done, waiting = futures.wait(waiting, PROGRESS_S, futures.FIRST_COMPLETED)
-        for run in done:
-            outcomes.extend(run.result())
+        for one in done:
+            ended.append(one.result())
+            outcomes.extend(one.result().outcomes)
         progress.tell(len(runs) - len(waiting), outcomes)
+    for slow in sorted(ended, key=_took_s, reverse=True)[:SLOWEST]:
+        print(f'{slow.took_s:.0f} s: {slow.name}')
     return sorted(outcomes, key=_name)
 
 
@@ -129,8 +152,8 @@
     # Large files first: one that begins last would run alone at the end.
     paths = sorted(pathlib.Path('features').glob('*.feature'), key=_bytes, reverse=True)
     with futures.ThreadPoolExecutor(WORKERS) as pool:
-        runs = [pool.submit(_checked, name) for name in CHECKS]
-        runs.extend(pool.submit(feature, path) for path in paths)
+        runs = [pool.submit(run, f'check {name}', partial(_checked, name)) for name in CHECKS]
+        runs.extend(pool.submit(run, path.name, partial(feature, path)) for path in paths)
         outcomes = collect(runs)
     return report(outcomes)
 
@@ -139,6 +162,10 @@
     return outcome.name
 
 
+def _took_s(one: Run) -> float:
+    return one.took_s
+
+
 def _checked(name: str) -> list[Outcome]:
     return [check(name)]
 
