--- a/features/subjects/limited_server.py
+++ b/features/subjects/limited_server.py
@@ -1,18 +1,16 @@
 """Subject: the policies for servers that name a limit, replayed without input or output."""
 
-from random import Random
-
 from endivesaddle.fleet.routes.advertised_limits import AdvertisedLimits
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routing.lanes import Lane
 from endivesaddle.fleet.routing.limit_shares import LimitShares
+from subjects.random_routers import RandomRouters, busiest
 
+SEED = 17
 START_UNIX_S = 1000.0
 PLAYED_S = 60.0
 WINDOW_S = 4.0
 NAMED_EACH_S = 1.0
-UNKNOWN_SHARE = 0.05
-SKEW_S = 0.02
 SERVER = RouteServer('life-0', 'engines', '10.0.0.1:1', 'a', 64)
 
 
@@ -21,33 +19,31 @@
 
     def __init__(self, policy: str, routers: int, limit: float) -> None:
         """Start when all have heard of the limit."""
-        self._random = Random(17)
         self._limit = limit
         names = [f'10.0.0.{number}:1' for number in range(routers)]
-        self._named = [AdvertisedLimits() for _ in names]
+        self._drawn = RandomRouters(SEED, names)
+        self._advertised = [AdvertisedLimits() for _ in names]
         self._shares = [
-            self._share(policy, named, name, names)
-            for named, name in zip(self._named, names, strict=True)
+            _share(LimitShares(policy, advertised, name), heard)
+            for advertised, name, heard in zip(
+                self._advertised, names, self._drawn.known, strict=True
+            )
         ]
         self._lanes = [Lane(SERVER) for _ in names]
-        self._skews_s = [self._random.uniform(-SKEW_S, SKEW_S) for _ in names]
         self._sent_unix_s: list[float] = []
 
     def play(self, per_s: float) -> None:
         """Send requests at random routers; the server names its limit once a second."""
-        now_unix_s = START_UNIX_S
         named_unix_s = 0.0
-        while now_unix_s < START_UNIX_S + PLAYED_S:
-            if now_unix_s - named_unix_s >= NAMED_EACH_S:
-                named_unix_s = now_unix_s
-                self._name(now_unix_s)
-            now_unix_s += self._random.expovariate(per_s)
-            number = self._random.randrange(len(self._shares))
-            here_unix_s = now_unix_s + self._skews_s[number]
-            lane = self._lanes[number]
-            if self._shares[number].takes(lane, here_unix_s):
-                self._shares[number].count(lane, here_unix_s)
-                self._sent_unix_s.append(now_unix_s)
+        end_unix_s = START_UNIX_S + PLAYED_S
+        for arrival in self._drawn.arrivals(per_s, START_UNIX_S, end_unix_s):
+            if arrival.now_unix_s - named_unix_s >= NAMED_EACH_S:
+                named_unix_s = arrival.now_unix_s
+                self._name(named_unix_s)
+            share, lane = self._shares[arrival.router], self._lanes[arrival.router]
+            if share.takes(lane, arrival.here_unix_s):
+                share.count(lane, arrival.here_unix_s)
+                self._sent_unix_s.append(arrival.now_unix_s)
 
     @property
     def served(self) -> int:
@@ -57,24 +53,17 @@
     @property
     def busiest(self) -> int:
         """The most requests that it got within any window."""
-        return max(self._since(first_unix_s) for first_unix_s in self._sent_unix_s)
-
-    def _since(self, first_unix_s: float) -> int:
-        return sum(0 <= one - first_unix_s <= WINDOW_S for one in self._sent_unix_s)
+        return busiest(self._sent_unix_s, WINDOW_S)
 
     def _name(self, now_unix_s: float) -> None:
-        for named in self._named:
-            named.advertised(SERVER.life, self._limit, now_unix_s)
-
-    def _share(
-        self, policy: str, named: AdvertisedLimits, name: str, names: list[str]
-    ) -> LimitShares:
-        share = LimitShares(policy, named, name)
-        # One in twenty of the others is unknown: it started just now, or left its entry.
-        heard = [other for other in names if self._random.random() >= UNKNOWN_SHARE]
-        share.routers = tuple({name, *heard})
-        share.settled = True
-        return share
+        for advertised in self._advertised:
+            advertised.advertised(SERVER.life, self._limit, now_unix_s)
+
+
+def _share(share: LimitShares, routers: tuple[str, ...]) -> LimitShares:
+    share.routers = routers
+    share.settled = True
+    return share
 
 
 class VaryingLimit:
