Have keepers ask routers less often while nobody tells

The pause doubles now: at most 20 lists for one keeper. What is unreadable in the store no longer ends the keeper, and a router whose address has another life is not asked again.

--- a/features/custody.feature
+++ b/features/custody.feature
@@ -72,6 +72,14 @@
     Then all but a quarter of what lay ahead at the kill is spent
     And at most 300000 tokens are spent
 
+  Scenario: Keepers that start when all were killed do not ask on and on
+    No router on record is left to tell; each keeper read the list of routers three times a second.
+    Given 21 routers and 4 sidecars that share a total of 300000 tokens
+    When all routers spend 1000 tokens in turn, 20 times a second for 4 seconds
+    And all routers and sidecars are killed and start anew
+    And 20 seconds go by for all
+    Then the routers were listed at most 20 times to ask them
+
   Scenario: An outage refuses nobody whose use stays the same
     The store is down for all for 8 seconds.  The caller's router asks the sidecar for what it
     left there.
--- a/features/steps/custody_steps.py
+++ b/features/steps/custody_steps.py
@@ -87,6 +87,18 @@
         context.cut.sleep(1 / times)
 
 
+@when('all routers and sidecars are killed and start anew')
+def kill_all(context: Any) -> None:
+    """Kill them at one moment."""
+    context.cut.kill_all()
+
+
+@then('the routers were listed at most {times:d} times to ask them')
+def listed(context: Any, times: int) -> None:
+    """Count the lists of routers alone: who looks for all instances lists the sidecars too."""
+    assert 0 < context.cut.router_lists <= times, context.cut.router_lists
+
+
 @when('{seconds:g} seconds go by for all')
 def wait(context: Any, seconds: float) -> None:
     """Let time pass."""
--- a/features/subjects/store_relay.py
+++ b/features/subjects/store_relay.py
@@ -10,14 +10,14 @@
 
 from endivesaddle.fleet.clock import LoopClock
 from endivesaddle.fleet.errors import FleetError
-from endivesaddle.fleet.ports import Handlers
+from endivesaddle.fleet.ports import Handlers, Stored
 from endivesaddle.fleet.routes.board import Board
 from endivesaddle.fleet.routes.declared import RouteAccount, RouteServer
 from endivesaddle.fleet.routes.grant_group import KeeperLife
 from endivesaddle.fleet.routes.keeper import Keeper
 from endivesaddle.fleet.routes.remote_store import RemoteStore, answer_store
 from endivesaddle.fleet.routes.reservation import Reservation
-from endivesaddle.fleet.routes.roster import SIDECAR, Entry, Instance, Roster
+from endivesaddle.fleet.routes.roster import PREFIX, ROUTER, SIDECAR, Entry, Instance, Roster
 from endivesaddle.fleet.routes.ways import SHARED, MadeCall
 from endivesaddle.fleet.routing.dispatcher import Place
 from endivesaddle.fleet.routing.lanes import ForwardWant, Lane
@@ -31,6 +31,7 @@
 ACCOUNT = RouteAccount('ateliers', (), None, 0)
 SERVER = RouteServer('life-1', 'engines', '10.0.2.1:1', 'porto-a', 64)
 SHARED_PART = 'shared'
+ROUTERS = f'{PREFIX}{ROUTER}/'
 
 
 class CutFleet:
@@ -46,6 +47,7 @@
         self.store = MemoryStore(self._clock)
         self.net = MemoryNet(self._clock)
         self.spent = 0
+        self.router_lists = 0
         self.reads: list[Any] = []
         self.keepers: list[Keeper] = []
         self._keeping: list[asyncio.Future[None]] = []
@@ -98,6 +100,10 @@
         """Lose a sidecar with what lies there; nobody listens at its address."""
         self._loop.run(self._lose_sidecar, sidecar)
 
+    def kill_all(self) -> None:
+        """Lose all routers and sidecars, and start another life of each; count their lists."""
+        self._loop.run(self._kill_all)
+
     def kill_sidecar(self, sidecar: int) -> None:
         """Lose a sidecar with what lies there, and start another life of it."""
         self._loop.run(self._start_sidecar, sidecar)
@@ -210,6 +216,28 @@
         self.net.kill(_sidecar(number))
         self._keeping[number].cancel()
 
+    async def _kill_all(self) -> None:
+        for lost, _ in enumerate(self.keepers):
+            await self._lose_sidecar(lost)
+        for router in self.routers:
+            router.kill()
+        self._count_lists()
+        await anyio.sleep(0.5)
+        for place, _ in enumerate(self.keepers):
+            await self._start_sidecar(place)
+        self.routers = [self._router(number) for number, _ in enumerate(self.routers)]
+        for started in self.routers:
+            started.start(self._account())
+
+    def _count_lists(self) -> None:
+        glance = self.store.glance
+
+        async def counted(prefix: str, deadline_unix_s: float) -> Sequence[Stored]:
+            self.router_lists += prefix == ROUTERS
+            return await glance(prefix, deadline_unix_s)
+
+        self.store.glance = counted  # type: ignore[method-assign]
+
     async def _stop_sidecar(self, number: int) -> None:
         await self.keepers[number].release()
         await anyio.sleep(2.5)
--- a/packages/fleet/src/endivesaddle/fleet/routes/held_claims.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/held_claims.py
@@ -22,7 +22,9 @@
 from endivesaddle.wire.routers_pb2 import HeldRequest
 
 ASK_S = 0.3
-"""Between rounds, while a router has not told yet."""
+"""After the first round, while a router has not told yet; doubled after each.
+
+Where all instances were killed nobody is left to tell, and all would go on asking."""
 ASKED_S = 20.0
 """Routers are asked for so long: one that has not answered by then is gone, or calls by itself."""
 CALL_S = 0.5
@@ -43,6 +45,7 @@
     async def run(self) -> None:
         """Ask until all routers on record have told, or have had their time."""
         end_unix_s = self._life.clock.now_s() + ASKED_S
+        pause_s = ASK_S
         read = False
         while self._life.clock.now_s() < end_unix_s:
             try:
@@ -52,9 +55,11 @@
                 if not self._unclaimed:
                     return
                 await self._ask_all()
-            except FleetError as error:
+            except (FleetError, ValueError) as error:
+                # What is in the store may be unreadable: no reason to end with it.
                 events.HELD_UNASKED.log(reason=str(error))
-            await anyio.sleep(ASK_S)
+            await anyio.sleep(pause_s)
+            pause_s *= 2
 
     async def _read(self) -> None:
         """Learn which routers ended lives may have given tokens to; a copy may be seconds old."""
@@ -75,7 +80,10 @@
         """Return where routers are reached, by lifetime."""
         prefix = f'{INSTANCES}{ROUTER}/'
         found = await self._life.store.glance(prefix, self._life.clock.now_s() + CALL_S)
-        routers = [msgspec.json.decode(stored.value or b'', type=Instance) for stored in found]
+        try:
+            routers = [msgspec.json.decode(stored.value or b'', type=Instance) for stored in found]
+        except msgspec.DecodeError as error:
+            raise ValueError(f'not entries of routers: {error}') from error
         return {router.lifetime: router.address for router in routers}
 
     async def _ask(self, router: str, address: str) -> None:
@@ -93,7 +101,8 @@
                 # Asked again in the next round.
                 return
         if reply.lifetime != router:
-            # Another life is at its address: this one can't tell any more.
+            # Another life is at its address: the one on record can't tell any more.
+            del self._unclaimed[router]
             return
         del self._unclaimed[router]
         for claim in reply.claims:
