--- a/packages/fleet/src/endivesaddle/fleet/routing/limit_shares.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/limit_shares.py
@@ -19,9 +19,10 @@
 
 
 class LimitSetting(NamedTuple):
-    """What a policy decides on: a server, its limit, and the routers that may send to it.
+    """What a policy decides on: a server's limit, and how many routers share it.
 
-    ``rank`` is this router's place among them, 0 for the first; all agree on their order.
+    ``rank`` is this router's place among them, 0 for the first; all agree on their order for a
+    server.
     """
 
     per_s: float
@@ -85,8 +86,8 @@
     def free_unix_s(self, lane: Lane, now_unix_s: float) -> float:
         """Return when a server may be sent the next request of this router, 0 for at any time.
 
-        Where this router has no share, the callers may find one that has when the server takes the
-        next request of anyone.
+        A router without a share names the time after which the server takes the next request of
+        any router: callers that come back then may meet one that has a share.
         """
         life = lane.server.life
         per_s = self._named.per_s(life, now_unix_s) if self._named else 0.0
--- a/packages/fleet/src/endivesaddle/fleet/routing/server_signals.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/server_signals.py
@@ -1,8 +1,8 @@
 """What servers tell of themselves in the heads of their answers: one way for all of it.
 
 An adapter names the header of each signal; here it is read, and noted for this router or for all of
-them.  Decisions ask what was noted where servers are chosen, and again right before a request is
-sent.  A header that is no signal and is not known otherwise is logged as unread.
+them.  Decisions ask what was noted where servers are chosen, and but for limits again right before
+a request is sent.  A header that is no signal and is not known otherwise is logged as unread.
 """
 
 import math
