Log where a request was when its caller left, what noticed it, and what was sent after that

Cause: the logs could not tell whether a request was sent because nobody listened to a caller's close, because the close was unread in the socket, or because ending the work took long. Change: no logic. Each caller's departure has a stage and what noticed it; the socket is looked at right before sending, for the lines alone; sends and ends after a departure have lines and counters.

--- a/features/subjects/overload_listener.py
+++ b/features/subjects/overload_listener.py
@@ -18,6 +18,7 @@
 from endivesaddle.fleet.overload.reports import OverloadReports
 from endivesaddle.fleet.overload.settings import SHED, OverloadSettings
 from endivesaddle.fleet.routes.declared import Declarations, Repeat, Route, Target
+from endivesaddle.fleet.routes.departures import Caller, Departures
 from endivesaddle.fleet.routes.header_names import HeaderNames
 from endivesaddle.fleet.routes.routing_state import RoutingState
 
@@ -45,7 +46,7 @@
         self._routing_state = RoutingState()
         self._routing_state.declare(Declarations(1, (route,), (), ()), b'', 'test')
 
-    async def serve(self, _: Any, sink: Any) -> None:
+    async def serve(self, _: Any, sink: Any, caller: Caller) -> None:
         """Answer a request, in place of a server."""
         await sink.reply(200, (), b'{}')
 
@@ -54,7 +55,7 @@
         anyio.run(self._play)
 
     async def _play(self) -> None:
-        runner: Any = SimpleNamespace(serve=self.serve)
+        runner: Any = SimpleNamespace(serve=self.serve, departures=Departures(self._clock))
         metrics = ForwardMetrics(dict)
         stopping = Stopping(lambda: True)
         settings, closed = CallersSettings(), anyio.Event()
--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -17,6 +17,7 @@
 from endivesaddle.fleet.overload.traffic import PACKET_BYTES, CallerConnection
 from endivesaddle.fleet.routes import run_events
 from endivesaddle.fleet.routes.declaration_index import DeclarationIndex
+from endivesaddle.fleet.routes.departures import Caller, SeenBy
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, Pairs
 from endivesaddle.fleet.routes.header_names import LENGTH, HeaderNames
 from endivesaddle.fleet.routes.routing_state import RoutingState
@@ -27,6 +28,8 @@
 CLOSE = ('connection', 'close')
 CONNECTION = 'endivesaddle.connection'
 """Key of a request's connection in its scope, where connections are counted."""
+CALLER_SOCKET = 'endivesaddle.caller_socket'
+"""Key in a request's scope of the object that tells whether its connection is closed."""
 STARTING_RETRY_AFTER_S = 0.5
 """Retry-after of a router that doesn't know the declarations yet."""
 OTHER_ROUTER_RETRY_AFTER_S = 0.05
@@ -150,22 +153,26 @@
             return
         parts = self._parts
         exchange = Exchange(scope, receive, send, parts.settings, parts.clock.now_s())
+        request_id = exchange.headers.get(parts.header_names.request_id, '')
+        caller = parts.runner.departures.caller(request_id, scope.get(CALLER_SOCKET))
         self.open_count += 1
         try:
-            await self._serve(exchange, scope.get(CONNECTION))
+            await self._serve(exchange, caller, scope.get(CONNECTION))
         except CallerGone:
-            run_events.GONE.log(request_id=exchange.headers.get(parts.header_names.request_id, ''))
+            caller.left(SeenBy.LISTENER)
         finally:
             self.open_count -= 1
 
-    async def _serve(self, exchange: Exchange, connection: CallerConnection | None) -> None:
+    async def _serve(
+        self, exchange: Exchange, caller: Caller, connection: CallerConnection | None
+    ) -> None:
         parts = self._parts
         sink = AsgiSink(exchange, parts)
         sink.connection = connection
         request = self._admit(await self._read(exchange))
         if isinstance(request, Refusal):
             run_events.REFUSED.log(
-                request_id=exchange.headers.get(parts.header_names.request_id, ''),
+                request_id=caller.request_id,
                 code=request.code,
                 reason=request.reason,
             )
@@ -173,8 +180,8 @@
             return
         sink.kind = request.route.repeat.value
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch, exchange, request, group.cancel_scope)
-            await parts.runner.serve(request, sink)
+            group.start_soon(self._watch, exchange, caller, group.cancel_scope)
+            await parts.runner.serve(request, sink, caller)
             group.cancel_scope.cancel()
         if parts.overload is not None:
             parts.overload.responded(request.route.name, sink.sent_bytes)
@@ -197,13 +204,11 @@
         )
         return overload.admit(arrival, self._parts.clock.now_s()) or request
 
-    async def _watch(
-        self, exchange: Exchange, request: ForwardRequest, scope: anyio.CancelScope
-    ) -> None:
+    async def _watch(self, exchange: Exchange, caller: Caller, scope: anyio.CancelScope) -> None:
         """Cancel the work when the caller disconnects, as its result can't be delivered."""
         await exchange.wait_disconnected()
         if not exchange.ending:
-            run_events.GONE.log(request_id=request.request_id)
+            caller.left(SeenBy.UNREAD_ANSWER if exchange.stalled else SeenBy.LISTENER)
         scope.cancel()
 
     async def _read(self, exchange: Exchange) -> ForwardRequest | Refusal:
--- a/packages/daemon/src/endivesaddle/daemon/forward_http.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_http.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import math
+import select
 from typing import Any
 
 import anyio
@@ -16,7 +17,7 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 from uvicorn.server import ServerState
 
-from endivesaddle.callers.forward_app import CONNECTION
+from endivesaddle.callers.forward_app import CALLER_SOCKET, CONNECTION
 from endivesaddle.callers.listening import listen
 from endivesaddle.callers.settings import CallersSettings
 from endivesaddle.fleet.overload.traffic import PACKET_BYTES, CallerConnection, Traffic
@@ -35,6 +36,23 @@
 logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
 
 
+class CallerSocket:
+    """Tells whether a caller has closed its connection, also if that has not been read yet."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        """Look at the socket of ``transport``."""
+        self._transport = transport
+
+    def closed(self) -> bool:
+        """Return whether the caller has closed or reset its connection."""
+        if self._transport.is_closing():
+            return True
+        hung_up = select.poll()
+        # Errors and resets are reported whichever events are asked for.
+        hung_up.register(self._transport.get_extra_info('socket').fileno(), select.POLLRDHUP)
+        return bool(hung_up.poll(0))
+
+
 class BoundedHttp(HttpToolsProtocol):
     """One connection of a caller, within the limits that were declared when it was opened."""
 
@@ -53,9 +71,10 @@
         )
 
     def on_message_begin(self) -> None:
-        """Count the bytes of each head anew."""
+        """Count the bytes of each head anew, and name its connection to the application."""
         super().on_message_begin()
         self._head_bytes = 0
+        self.scope[CALLER_SOCKET] = CallerSocket(self.transport)  # type: ignore[literal-required]
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -21,6 +21,7 @@
 from endivesaddle.fleet.clock import MonotonicClock
 from endivesaddle.fleet.ports import Handlers
 from endivesaddle.fleet.routes.call_times import TimedPeers
+from endivesaddle.fleet.routes.departures import Departures
 from endivesaddle.fleet.routes.loop_lag import LoopLag
 from endivesaddle.fleet.routes.peer_routers import PeerRouterParts, PeerRouters
 from endivesaddle.fleet.routes.remote_store import answer_store
@@ -85,7 +86,8 @@
         self._crashes = StoredCrashes(parts.store, parts.dispatcher.crashes, clock)
         self._metrics = ForwardMetrics(self.state)
         parts.store.observer = self._metrics.store_called
-        runner = Runner(parts.dispatcher, parts.pools, self.links, clock)
+        self._departures = Departures(clock, self._loop_lag.worst_s)
+        runner = Runner(parts.dispatcher, parts.pools, self.links, clock, self._departures)
         self._app = ForwardApp(
             ForwardParts(
                 settings.http,
@@ -159,6 +161,7 @@
                 **parts.pools.counters(),
                 **parts.allocator.counters(),
                 **parts.dispatcher.counts,
+                **self._departures.counters(),
                 **self._overload.counters(),
                 **parts.dispatcher.waiting.counters(),
             },
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from functools import partial
 from typing import NamedTuple
 
 from endivesaddle.fleet.clock import Clock
@@ -13,6 +14,7 @@
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_detection import CrashDetector
 from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routes.departures import Caller, Stage
 from endivesaddle.fleet.routes.forwarded import (
     ForwardRequest,
     ServerCall,
@@ -73,13 +75,19 @@
     """The execution of one request, over all its attempts."""
 
     def __init__(
-        self, parts: ExecutionParts, request: ForwardRequest, sink: Sink, progress: Progress
+        self,
+        parts: ExecutionParts,
+        request: ForwardRequest,
+        sink: Sink,
+        progress: Progress,
+        caller: Caller,
     ) -> None:
-        """Execute ``request`` and write the answer to ``sink``."""
+        """Execute ``request`` of ``caller`` and write the answer to ``sink``."""
         self.request = request
         self._parts = parts
         self._sink = sink
         self._progress = progress
+        self._caller = caller
         self._fallback: CompleteResponse | None = None
         self._first_event_unix_s = 0.0
         self._tried: set[str] = set()
@@ -89,6 +97,7 @@
     async def run(self) -> None:
         """Send the request until it is answered or can't be retried."""
         while True:
+            self._caller.stage = Stage.RETRYING if self._tried else Stage.PLACING
             placement = await self._parts.dispatcher.place(self.request, frozenset(self._tried))
             if isinstance(placement, Refusal):
                 await self._finish_unanswered(placement)
@@ -133,6 +142,7 @@
             servers_heard_s=self._parts.dispatcher.server_list_age_s(),
         )
         placement.start()
+        self._caller.stage = Stage.CONNECTING
         self._progress.start_run()
         success = False
         try:
@@ -152,6 +162,7 @@
             return await self._handle_lost(placement, str(error))
         finally:
             placement.finish(success)
+            self._caller.ended(server.lifetime, self._progress.events)
 
     async def _handle_lost(self, placement: Placement, reason: str) -> Outcome:
         """Check after a broken run whether the process of the server ended."""
@@ -169,10 +180,17 @@
             placement.backend.server,
             request.end_unix_s,
             last_event,
-            placement.may_send,
+            partial(self._may_send, placement),
             placement.source.server if placement.source else None,
         )
 
+    def _may_send(self, placement: Placement) -> bool:
+        may_send = placement.may_send()
+        if may_send:
+            self._caller.gone()
+            self._caller.sent(placement.backend.server.lifetime)
+        return may_send
+
     def _log_failed(self, placement: Placement, outcome: Outcome, reason: str) -> Outcome:
         events.SENDING_FAILED.log(
             request_id=self.request.request_id,
@@ -217,6 +235,7 @@
             if not self._progress.started:
                 self._first_event_unix_s = self._parts.clock.now_s()
                 self._progress.started = True
+                self._caller.stage = Stage.STREAMING
                 await self._sink.start(response.status, response.headers)
             await self._sink.write(event)
         if not self._progress.started:
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -15,3 +15,12 @@
 GONE = event(
     2709, 'INFO', 'forward_caller_gone', 'the caller disconnected before the answer was complete'
 )
+SENT_AFTER_GONE = event(
+    2710, 'WARNING', 'forward_sent_after_gone', 'a request is sent although its caller is gone'
+)
+ENDED_AFTER_GONE = event(
+    2711,
+    'INFO',
+    'forward_ended_after_gone',
+    'a request whose caller is gone is closed at its server',
+)
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -5,6 +5,7 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_detection import CrashDetector
+from endivesaddle.fleet.routes.departures import Caller, Departures, Stage
 from endivesaddle.fleet.routes.execution import Execution, ExecutionParts, refuse
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerConnections, Sink
 from endivesaddle.fleet.routes.prepaid_pools import PrepaidPools
@@ -21,21 +22,34 @@
     """Serves the forwarded requests of one router."""
 
     def __init__(
-        self, dispatcher: Dispatcher, pools: PrepaidPools, links: ServerConnections, clock: Clock
+        self,
+        dispatcher: Dispatcher,
+        pools: PrepaidPools,
+        links: ServerConnections,
+        clock: Clock,
+        departures: Departures | None = None,
     ) -> None:
         """Send requests over ``links``."""
         crashes = CrashDetector(dispatcher.crashes, dispatcher.routing_state, links, clock)
         self.parts = ExecutionParts(dispatcher, links, clock, crashes)
+        self.departures = departures or Departures(clock)
         self._pools = pools
 
-    async def serve(self, request: ForwardRequest, sink: Sink) -> None:
-        """Answer a request; if the call is cancelled, its reservation is settled too."""
+    async def serve(
+        self, request: ForwardRequest, sink: Sink, caller: Caller | None = None
+    ) -> None:
+        """Answer a request; if the call is cancelled, its reservation is settled too.
+
+        Without a ``caller``, only a cancellation tells that nobody waits for the answer.
+        """
+        caller = caller or self.departures.caller(request.request_id)
         refusal = self.parts.dispatcher.check_held_back(request)
         if refusal is not None:
             await refuse(request, sink, refusal)
             return
         reservation: Reservation | Refusal = Reservation(None, 0)
         if request.account is not None:
+            caller.stage = Stage.RESERVING
             reservation = await self._pools.reserve(
                 request.account, request.cost_tokens, request.request_id, request.end_unix_s
             )
@@ -44,7 +58,7 @@
             return
         progress = Progress(request, self.parts.dispatcher.event_tokens(request))
         try:
-            await self._run_until_deadline(Execution(self.parts, request, sink, progress))
+            await self._run_until_deadline(Execution(self.parts, request, sink, progress, caller))
         finally:
             reservation.settle(progress.spent_tokens)
             events.SETTLED.log(
