Look at the caller's connection right before a request is sent

What callers saw: requests that they had given up ran, and their accounts paid for the prompts. Cause: a request was sent on what the event loop had read of its caller, which is at least one turn old. A request that is woken, by tokens, a slot, a connection or its own arrival, is sent in that turn without another wait; a close that has arrived by then is read in the next one, and a cancellation is delivered at the next wait, which is the one for the answer. A caller that closed before its request was read is the plain case: both lie in the socket together. Change: the last look before sending, which already asked whether the server still takes requests, asks the caller's socket first; so does each choice of a server. A run is counted, and the prompt charged, at that look and not before the connection is made: a request that was cancelled while connecting cost its prompt. The stand-ins of clients in the tests call ``may_send`` as the real one does; its page now says when.

--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -17,7 +17,7 @@
 from endivesaddle.fleet.routes.running import Runner
 from endivesaddle.stand_ins.memory_store import MemoryStore
 from subjects.cut_router import CutRouter
-from subjects.forward_runs import RecordingSink, ScriptedAnswer
+from subjects.forward_runs import RecordingSink, ScriptedAnswer, record_sent
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
 from subjects.router_fleet import RouterFleet
 
@@ -68,6 +68,7 @@
     async def exchange(self, call: ServerCall) -> AsyncIterator[ScriptedAnswer]:
         """Run a request, unless the process has crashed or crashes in the meantime."""
         await anyio.sleep(0.001)
+        record_sent(call)
         crashed = self._process(call.server)
         request = call.request
         account = request.account.name if request.account else ''
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -10,7 +10,7 @@
 import anyio
 
 from endivesaddle.fleet.clock import LoopClock
-from endivesaddle.fleet.interfaces import NeverSent, ServerLost
+from endivesaddle.fleet.interfaces import NeverSent, ServerLeft, ServerLost
 from endivesaddle.fleet.routes.allocator import Allocator
 from endivesaddle.fleet.routes.allocator_choice import AllocatorChoice
 from endivesaddle.fleet.routes.call_times import TimedPeers
@@ -164,6 +164,12 @@
 )
 
 
+def record_sent(call: ServerCall) -> None:
+    """Ask for leave to send, as each client does right before it sends."""
+    if not call.may_send():
+        raise ServerLeft('the server accepts no more requests')
+
+
 class ScriptedLinks:
     """Scripted servers, in the order in which they get requests."""
 
@@ -178,9 +184,11 @@
         """Behave as the script says for this attempt."""
         name = self._script[min(len(self.calls), len(self._script) - 1)]
         self.calls.append(call)
+        await anyio.sleep(0.001)
+        if name != 'unreached':
+            record_sent(call)
         if name not in {'declines', 'moved', 'unreached'}:
             self.ran += 1
-        await anyio.sleep(0.001)
         if name == 'hangs':
             await anyio.sleep_forever()
         yield BEHAVIOURS[name](call)
--- a/features/subjects/waiting_fleet.py
+++ b/features/subjects/waiting_fleet.py
@@ -31,7 +31,7 @@
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.fleet.routing.waiting_settings import WaitingSettings
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
-from subjects.forward_runs import RecordingSink, ScriptedAnswer
+from subjects.forward_runs import RecordingSink, ScriptedAnswer, record_sent
 from subjects.links_loop import ScenarioLoop
 
 RUN_S = 0.1
@@ -57,6 +57,7 @@
     @asynccontextmanager
     async def exchange(self, call: ServerCall) -> AsyncIterator[ScriptedAnswer]:
         """Run a request or decline it."""
+        record_sent(call)
         answer = ScriptedAnswer(call)
         answer.signals = self.signals
         if self.accepted >= self._places:
--- a/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
@@ -30,7 +30,8 @@
 class OutgoingRequest(NamedTuple):
     """A request to send; target and headers are the bytes that were received.
 
-    ``may_send`` is called right before sending: does the server still accept requests?
+    ``may_send`` is called right before sending: does the server still accept requests?  What it
+    raises is passed on; the request is not sent then.
     """
 
     method: str
--- a/packages/fleet/src/endivesaddle/fleet/routes/departures.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/departures.py
@@ -16,6 +16,10 @@
 MS_PER_S = 1000
 
 
+class CallerLeft(Exception):
+    """The caller of a request is gone, so that the request is not sent any more."""
+
+
 class Stage(enum.Enum):
     """Where the request of a caller is."""
 
@@ -70,6 +74,11 @@
             self.left(SeenBy.CHECK)
         return self.departure is not None
 
+    def check(self) -> None:
+        """Raise ``CallerLeft`` if the caller has disconnected, as of now."""
+        if self.gone():
+            raise CallerLeft(self.request_id)
+
     def left(self, seen_by: SeenBy) -> None:
         """Record that the caller has disconnected; the first observation counts."""
         if self.departure is None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -14,7 +14,7 @@
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_detection import CrashDetector
 from endivesaddle.fleet.routes.declared import RouteServer
-from endivesaddle.fleet.routes.departures import Caller, Stage
+from endivesaddle.fleet.routes.departures import Caller, CallerLeft, Stage
 from endivesaddle.fleet.routes.forwarded import (
     ForwardRequest,
     ServerCall,
@@ -95,8 +95,12 @@
         self._sent_unix_s = 0.0
 
     async def run(self) -> None:
-        """Send the request until it is answered or can't be retried."""
+        """Send the request until it is answered or can't be retried.
+
+        Raises ``CallerLeft`` if nobody waits for the answer any more.
+        """
         while True:
+            self._caller.check()
             self._caller.stage = Stage.RETRYING if self._tried else Stage.PLACING
             placement = await self._parts.dispatcher.place(self.request, frozenset(self._tried))
             if isinstance(placement, Refusal):
@@ -143,27 +147,30 @@
         )
         placement.start()
         self._caller.stage = Stage.CONNECTING
-        self._progress.start_run()
         success = False
         try:
             async with self._parts.links.exchange(call) as response:
                 outcome = await self._handle_response(placement, response)
                 success = outcome in {Outcome.DONE, Outcome.DECLINED}
                 return outcome
-        except ServerLeft as error:
-            self._progress.record_not_run()
+        except CallerLeft:
             success = True
-            return self._log_failed(placement, Outcome.NOT_SENT, str(error))
+            raise
         except NeverSent as error:
-            self._progress.record_not_run()
-            placement.mark_unreachable(isinstance(error, ServerRefused))
-            return self._log_failed(placement, Outcome.NOT_SENT, str(error))
+            success = isinstance(error, ServerLeft)
+            return self._handle_never_sent(placement, error)
         except ServerLost as error:
             return await self._handle_lost(placement, str(error))
         finally:
             placement.finish(success)
             self._caller.ended(server.lifetime, self._progress.events)
 
+    def _handle_never_sent(self, placement: Placement, error: NeverSent) -> Outcome:
+        self._progress.record_not_run()
+        if not isinstance(error, ServerLeft):
+            placement.mark_unreachable(isinstance(error, ServerRefused))
+        return self._log_failed(placement, Outcome.NOT_SENT, str(error))
+
     async def _handle_lost(self, placement: Placement, reason: str) -> Outcome:
         """Check after a broken run whether the process of the server ended."""
         outcome = self._log_failed(placement, Outcome.LOST, reason)
@@ -185,11 +192,17 @@
         )
 
     def _may_send(self, placement: Placement) -> bool:
-        may_send = placement.may_send()
-        if may_send:
-            self._caller.gone()
-            self._caller.sent(placement.backend.server.lifetime)
-        return may_send
+        """Return whether the server still accepts the request, which is sent right after this.
+
+        The event loop may not have read a close yet, whatever the request waited for: it is read
+        in the next turn, and the request is sent in this one.
+        """
+        self._caller.check()
+        if not placement.may_send():
+            return False
+        self._caller.sent(placement.backend.server.lifetime)
+        self._progress.start_run()
+        return True
 
     def _log_failed(self, placement: Placement, outcome: Outcome, reason: str) -> Outcome:
         events.SENDING_FAILED.log(
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -88,7 +88,9 @@
     """One attempt of a request at one server.
 
     ``last_event`` is the number of the last event that the caller has, -1 for none;
-    ``may_send`` returns whether the server accepts requests when it is called.
+    ``may_send`` is called right before the request is sent, and counts it as sent.  It returns
+    False if the server does not accept requests any more, and raises ``CallerLeft`` if the caller
+    has left.
     ``source`` is the server from which it can fetch shared parts of the prompt, if any.
     """
 
@@ -131,7 +133,7 @@
         """Send a request and provide its response.
 
         Raises ``NeverSent`` if the server did not get it (``ServerLeft`` if the server
-        is leaving), ``ServerLost`` if it may have run.
+        is leaving), ``ServerLost`` if it may have run; ``CallerLeft`` comes from ``may_send``.
         """
 
     async def check(self, server: RouteServer) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/progress.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/progress.py
@@ -15,20 +15,23 @@
         self.events = 0
         self.last_event = request.last_event
         self.started = False
+        self._run_counted = False
         self._request = request
         self._event_tokens = event_tokens
 
     def start_run(self) -> None:
         """Count a run: the request goes to a server, which may run it from now on."""
         self.runs += 1
+        self._run_counted = True
 
     def record_not_run(self) -> None:
-        """Uncount the last run: the server did not get the request, or declined to run it.
+        """Uncount the last attempt: the server did not get the request, or declined to run it.
 
         Runs are counted when the request is sent, not when a server answers: otherwise a
         request that hung until its deadline was reported as not run, and its caller ran it twice.
         """
-        self.runs -= 1
+        self.runs -= self._run_counted
+        self._run_counted = False
 
     def accept_event(self, event: bytes) -> bool:
         """Count an event; return False if the caller already has it from an earlier run."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -5,7 +5,7 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_detection import CrashDetector
-from endivesaddle.fleet.routes.departures import Caller, Departures, Stage
+from endivesaddle.fleet.routes.departures import Caller, CallerLeft, Departures, Stage
 from endivesaddle.fleet.routes.execution import Execution, ExecutionParts, refuse
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerConnections, Sink
 from endivesaddle.fleet.routes.prepaid_pools import PrepaidPools
@@ -59,6 +59,8 @@
         progress = Progress(request, self.parts.dispatcher.event_tokens(request))
         try:
             await self._run_until_deadline(Execution(self.parts, request, sink, progress, caller))
+        except CallerLeft:
+            return
         finally:
             reservation.settle(progress.spent_tokens)
             events.SETTLED.log(
