End the draws for a request whose caller has left or whose wait is over

Cause: a call to an allocator is shielded from cancellation, as its tokens are for all waiting requests. Between one such call and the next nothing waits outside the shield, so that neither a caller's leaving nor the end of the wait was ever delivered while the allocator said "ask again"; the request kept the account's lock meanwhile. Change: a checkpoint behind each shielded call. Result: two scenarios of departed_callers.feature, red before (the draws did not end within 2 s), pass.

--- a/features/departed_callers.feature
+++ b/features/departed_callers.feature
@@ -44,6 +44,18 @@
       | resuming            | closes unseen        |
       | resuming            | pipelines and closes |
 
+  Scenario: Tokens are not drawn any more for a caller that has left
+    An allocator that has no tokens yet says so again and again.  Draws that go on for as long as it does
+    hold up the account's other requests.
+    Given a request that is lacking tokens
+    When its caller closes
+    Then the allocator is not asked again
+
+  Scenario: A request does not wait for tokens without end
+    Given a request that is lacking tokens
+    When its caller waits for an answer
+    Then it is refused as not run within 1 second
+
   Scenario Outline: A request whose caller stays is sent on
     Otherwise the scenarios above would pass with requests that go nowhere.
     Given a request that is <place>
--- a/features/steps/departed_callers_steps.py
+++ b/features/steps/departed_callers_steps.py
@@ -6,7 +6,14 @@
 from behave import given, then, when
 
 from subjects.departed_callers import DepartedCallers
-from subjects.departure_places import PLACES, give_up_unread, leave, leave_busy, leave_then_read
+from subjects.departure_places import (
+    PLACES,
+    give_up_unread,
+    leave,
+    leave_busy,
+    leave_then_read,
+    wait_for_answer,
+)
 
 
 @given('a request that is {place}')
@@ -34,6 +41,12 @@
     context.departed.play(partial(give_up_unread, place=context.place))
 
 
+@when('its caller waits for an answer')
+def waits(context: Any) -> None:
+    """Wait for the answer."""
+    context.departed.play(partial(wait_for_answer, place=context.place))
+
+
 @when('its caller {way}')
 def leaves(context: Any, way: str) -> None:
     """Let the caller leave."""
@@ -64,6 +77,23 @@
     assert len(arrived) == context.place.sent_count + 1, arrived
 
 
+@then('the allocator is not asked again')
+def not_asked(context: Any) -> None:
+    """Compare the draws with those up to the time at which the router noticed the close."""
+    departed = context.departed
+    assert departed.noticed_draw_count
+    # One more may have begun before the close was noticed.
+    assert departed.allocator.draw_count <= departed.noticed_draw_count + 1
+
+
+@then('it is refused as not run within {within_s:g} second')
+def refused_in_time(context: Any, within_s: float) -> None:
+    """Check the status, and how long the caller waited for it."""
+    departed = context.departed
+    assert departed.answer.startswith(b'HTTP/1.1 503 '), departed.answer
+    assert departed.answered_s <= within_s, departed.answered_s
+
+
 @then('its tokens are free again')
 def tokens_free(context: Any) -> None:
     """Check that nothing is reserved, and that only what ran is spent."""
--- a/features/subjects/departed_callers.py
+++ b/features/subjects/departed_callers.py
@@ -47,7 +47,7 @@
 from endivesaddle.fleet.routing.waiting_settings import WaitingSettings
 from endivesaddle.stand_ins.memory_peers import MemoryNet
 from endivesaddle.stand_ins.memory_store import MemoryStore
-from endivesaddle.wire.routers_pb2 import DrawReply, DrawRequest
+from endivesaddle.wire.routers_pb2 import DrawAnswer, DrawReply, DrawRequest
 from subjects.forward_runs import Alone
 from subjects.watched_server import Arrival, WatchedServer
 
@@ -55,6 +55,7 @@
 SETTLE_S = 0.3
 NOTICE_S = 0.25
 POLL_S = 0.005
+GROW_S = 0.05
 UNREAD_LIMIT_S = 1.0
 ACCOUNT = 'ateliers'
 SERVICE = 'engines'
@@ -98,17 +99,30 @@
 
 
 class GatedAllocator:
-    """An allocator whose answers to draws for waiting requests pass a gate."""
+    """An allocator whose answers to draws for waiting requests pass a gate.
+
+    While it is ``growing``, it has no tokens and answers that the router should ask again.
+    """
 
     def __init__(self, allocator: Allocator, gate: Gate) -> None:
         """Draw from ``allocator``."""
+        self.draw_count = 0
+        self.growing = False
         self._allocator = allocator
         self._gate = gate
 
     async def draw(self, request: DrawRequest) -> DrawReply:
         """Draw, after the gate."""
         if any(report.needed for report in request.words):
+            self.draw_count += 1
             await self._gate.pass_through()
+            if self.growing:
+                await anyio.sleep(GROW_S)
+                states = [
+                    DrawAnswer(account=report.account, state=DrawAnswer.GROWING)
+                    for report in request.words
+                ]
+                return DrawReply(lifetime='one', answers=states)
         return await self._allocator.draw(request)
 
 
@@ -181,6 +195,9 @@
         self.admission = Gate()
         self.connecting = Gate()
         self.left_s = 0.0
+        self.noticed_draw_count = 0
+        self.answered_s = 0.0
+        self.answer = b''
         self.repeated: RawCaller | None = None
         self.second = b''
         self.departures = Departures(MonotonicClock())
@@ -279,7 +296,8 @@
         self._dispatcher.admission = GatedAdmission(self.admission)
         store = MemoryStore(clock)
         allocator = Allocator(AllocatorContext('one', 'one', store, clock))
-        gated: Any = GatedAllocator(allocator, self.budget)
+        self.allocator = GatedAllocator(allocator, self.budget)
+        gated: Any = self.allocator
         self._pools = PrepaidPools(
             PrepaidPoolsParts(
                 'one',
--- a/features/subjects/departure_places.py
+++ b/features/subjects/departure_places.py
@@ -49,6 +49,12 @@
     await subject.budget.reached.wait()
 
 
+async def _lacking(subject: DepartedCallers, caller: RawCaller) -> None:
+    subject.allocator.growing = True
+    caller.send(subject.request())
+    assert await subject.until(lambda: subject.allocator.draw_count)
+
+
 async def _slot(subject: DepartedCallers, caller: RawCaller) -> None:
     subject.fill()
     caller.send(subject.request())
@@ -110,6 +116,10 @@
     subject.budget.open()
 
 
+def _count_draws(subject: DepartedCallers) -> None:
+    subject.noticed_draw_count = subject.allocator.draw_count
+
+
 def _free_slot(subject: DepartedCallers) -> None:
     subject.free()
 
@@ -133,6 +143,7 @@
         'reading': Place(Setting(), _reading, _nothing),
         'budget': Place(Setting(), _budget, _open_budget),
         'budget, drawn ahead': Place(Setting(supply='ahead'), _budget, _open_budget),
+        'lacking tokens': Place(Setting(), _lacking, _count_draws),
         'slot': Place(Setting(waiting='fair'), _slot, _free_slot),
         'admission': Place(Setting(), _admission, _admit),
         'connecting': Place(Setting(connected=False), _connecting, _connect),
@@ -230,6 +241,16 @@
         await anyio.sleep(0)
 
 
+async def wait_for_answer(subject: DepartedCallers, place: Place) -> None:
+    """Wait until the answer begins."""
+    caller = subject.caller()
+    began_s = time.monotonic()
+    await place.reach(subject, caller)
+    await subject.until(caller.receive, 2)
+    subject.answered_s = time.monotonic() - began_s
+    subject.answer = caller.received
+
+
 async def give_up_unread(subject: DepartedCallers, place: Place) -> None:
     """Read nothing of an answer; the connection stays open."""
     caller = subject.caller()
--- a/packages/fleet/src/endivesaddle/fleet/routes/prepaid_pools.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/prepaid_pools.py
@@ -8,6 +8,7 @@
 
 import anyio
 import xxhash
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from endivesaddle.fleet.ports import Handlers
 from endivesaddle.fleet.routes import events
@@ -260,6 +261,9 @@
         # the call, or on a slow link no request would ever get an answer.
         with anyio.CancelScope(shield=True):
             reply = await self._calls.ask(address, request, WAIT_S)
+        # The request itself ends here if its caller has left or its time is over: the next call
+        # would be shielded again, and the draws would go on for as long as allocators answer.
+        await checkpoint_if_cancelled()
         if reply is None:
             # An allocator that is still usable is asked again: only it can hand out its grant.
             usable = self._parts.choice.usable(address)
