Notice the close of a caller that has sent another request behind the first one

What callers saw: a request that they had given up ran to its end, 1 s and more after the close. Cause: the listener stops reading while a request waits behind another one on its connection. The event loop does not watch a socket that is not read, so that a close is not noticed before the first request is answered; and then the last request received is told, which is not the one that runs. Change: such a connection is looked at each 0.1 s, and the running request is told. Result: the three scenarios of departed_callers.feature with a pipelined request that was sent, red before, pass; the other ones with pipelined requests don't need to wait for the last look before sending.

--- a/packages/daemon/src/endivesaddle/daemon/forward_http.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_http.py
@@ -14,7 +14,11 @@
 import anyio
 from anyio.abc import TaskStatus
 from uvicorn.config import Config
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    STATUS_LINE,
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 from uvicorn.server import ServerState
 
 from endivesaddle.callers.forward_app import CALLER_SOCKET, CONNECTION
@@ -27,6 +31,8 @@
 SETTLED_S = 0.5
 """Connections that are still open at the end of a stop are closed within this."""
 LOOK_S = 0.02
+PAUSED_CHECK_S = 0.1
+"""Interval of looks at a connection that is not read."""
 _MS = 1000
 _CODING = b'transfer-encoding'
 _TOO_LONG = b'%scontent-length: 0\r\nconnection: close\r\n\r\n' % STATUS_LINE[431]
@@ -62,6 +68,7 @@
         self.timeout_keep_alive = math.ceil(limits.idle_ms / _MS)
         self._most_bytes = limits.header_bytes
         self._head_bytes = 0
+        self._running: RequestResponseCycle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Close a connection on which nothing is sent, too: it would keep its descriptor."""
@@ -70,6 +77,17 @@
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notify the running request; uvicorn notifies only the last one that was received."""
+        self._disconnected()
+        super().connection_lost(exc)
+
+    def on_headers_complete(self) -> None:
+        """Start a request, or keep it until the one before is answered."""
+        super().on_headers_complete()
+        if self.pipeline:
+            self._check_paused()
+
     def on_message_begin(self) -> None:
         """Count the bytes of each head anew, and name its connection to the application."""
         super().on_message_begin()
@@ -101,6 +119,26 @@
         else:
             super().send_400_response(msg)
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _check_paused(self) -> None:
+        """Look for a close while nothing is read, since another request waits on the connection.
+
+        The event loop doesn't watch a socket that is not read: a caller that sent two requests and
+        closed was noticed only when the first one was answered.
+        """
+        if CallerSocket(self.transport).closed():
+            self.transport.abort()
+        elif self.pipeline:
+            self.loop.call_later(PAUSED_CHECK_S, self._check_paused)
+
+    def _disconnected(self) -> None:
+        if self._running is not None and not self._running.response_complete:
+            self._running.disconnected = True
+            self._running.message_event.set()
+
     def _count(self, *parts: bytes) -> None:
         self._head_bytes += sum(map(len, parts))
         if self._head_bytes > self._most_bytes:
