Cancel the work for a caller in the turn in which its close is read

Cause: from the close to the server there were five turns of the event loop: the transport's end, the task that receives, the scope that it cancels, the task that waits for the server, the server's transport. Change: the connection tells the running request of the close when it is read; the other way stays for an answer that is left unread. A close after the answer is of no concern: the subscription ends with the request.

--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -1,6 +1,7 @@
 """The ASGI applications for requests on routes and for health checks."""
 
 from collections.abc import Callable, MutableMapping
+from functools import partial
 from http import HTTPStatus
 from typing import Any, NamedTuple
 
@@ -17,7 +18,7 @@
 from endivesaddle.fleet.overload.traffic import PACKET_BYTES, CallerConnection
 from endivesaddle.fleet.routes import run_events
 from endivesaddle.fleet.routes.declaration_index import DeclarationIndex
-from endivesaddle.fleet.routes.departures import Caller, SeenBy
+from endivesaddle.fleet.routes.departures import Caller, Connection, SeenBy
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, Pairs
 from endivesaddle.fleet.routes.header_names import LENGTH, HeaderNames
 from endivesaddle.fleet.routes.routing_state import RoutingState
@@ -154,7 +155,8 @@
         parts = self._parts
         exchange = Exchange(scope, receive, send, parts.settings, parts.clock.now_s())
         request_id = exchange.headers.get(parts.header_names.request_id, '')
-        caller = parts.runner.departures.caller(request_id, scope.get(CALLER_SOCKET))
+        socket: Connection | None = scope.get(CALLER_SOCKET)
+        caller = parts.runner.departures.caller(request_id, socket)
         self.open_count += 1
         try:
             await self._serve(exchange, caller, scope.get(CONNECTION))
@@ -180,8 +182,10 @@
             return
         sink.kind = request.route.repeat.value
         async with anyio.create_task_group() as group:
-            group.start_soon(self._watch, exchange, caller, group.cancel_scope)
-            await parts.runner.serve(request, sink, caller)
+            departed = partial(_departed, exchange, caller, group.cancel_scope)
+            group.start_soon(_watch, exchange, departed)
+            with caller.notifies(departed):
+                await parts.runner.serve(request, sink, caller)
             group.cancel_scope.cancel()
         if parts.overload is not None:
             parts.overload.responded(request.route.name, sink.sent_bytes)
@@ -204,13 +208,6 @@
         )
         return overload.admit(arrival, self._parts.clock.now_s()) or request
 
-    async def _watch(self, exchange: Exchange, caller: Caller, scope: anyio.CancelScope) -> None:
-        """Cancel the work when the caller disconnects, as its result can't be delivered."""
-        await exchange.wait_disconnected()
-        if not exchange.ending:
-            caller.left(SeenBy.UNREAD_ANSWER if exchange.stalled else SeenBy.LISTENER)
-        scope.cancel()
-
     async def _read(self, exchange: Exchange) -> ForwardRequest | Refusal:
         parts = self._parts
         declarations = parts.routing_state.declarations
@@ -233,6 +230,18 @@
         return read_request(exchange, head, body, self._parts.header_names)
 
 
+async def _watch(exchange: Exchange, departed: Callable[[], None]) -> None:
+    await exchange.wait_disconnected()
+    departed()
+
+
+def _departed(exchange: Exchange, caller: Caller, scope: anyio.CancelScope) -> None:
+    """Cancel the work for a caller that disconnected, as its result can't be delivered."""
+    if not exchange.ending:
+        caller.left(SeenBy.UNREAD_ANSWER if exchange.stalled else SeenBy.LISTENER)
+    scope.cancel()
+
+
 class ReadyApp:
     """Answers the platform's readiness checks."""
 
--- a/packages/daemon/src/endivesaddle/daemon/forward_http.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_http.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import select
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -48,6 +49,7 @@
     def __init__(self, transport: asyncio.Transport) -> None:
         """Look at the socket of ``transport``."""
         self._transport = transport
+        self._notify: Callable[[], None] | None = None
 
     def closed(self) -> bool:
         """Return whether the caller has closed or reset its connection."""
@@ -58,6 +60,20 @@
         hung_up.register(self._transport.get_extra_info('socket').fileno(), select.POLLRDHUP)
         return bool(hung_up.poll(0))
 
+    def subscribe(self, notify: Callable[[], None]) -> None:
+        """Call ``notify`` when the close has been read; it replaces the previous one."""
+        self._notify = notify
+
+    def unsubscribe(self, notify: Callable[[], None]) -> None:
+        """Don't call ``notify`` any more; a later request may have replaced it already."""
+        if self._notify is notify:
+            self._notify = None
+
+    def close_read(self) -> None:
+        """Notify the request that is running."""
+        if self._notify is not None:
+            self._notify()
+
 
 class BoundedHttp(HttpToolsProtocol):
     """One connection of a caller, within the limits that were declared when it was opened."""
@@ -69,17 +85,30 @@
         self._most_bytes = limits.header_bytes
         self._head_bytes = 0
         self._running: RequestResponseCycle | None = None
+        self._caller_socket: CallerSocket
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Close a connection on which nothing is sent, too: it would keep its descriptor."""
         super().connection_made(transport)
+        self._caller_socket = CallerSocket(transport)
         self.timeout_keep_alive_task = self.loop.call_later(
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def eof_received(self) -> None:
+        """Notify the running request at once.
+
+        By way of the transport, the task that receives, and the one that waits, a close took five
+        turns of the event loop until the server saw it: 0.6 s where a turn takes 0.1 s.
+        """
+        self._caller_socket.close_read()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the running request; uvicorn notifies only the last one that was received."""
-        self._disconnected()
+        self._caller_socket.close_read()
+        if self._running is not None and not self._running.response_complete:
+            self._running.disconnected = True
+            self._running.message_event.set()
         super().connection_lost(exc)
 
     def on_headers_complete(self) -> None:
@@ -92,7 +121,7 @@
         """Count the bytes of each head anew, and name its connection to the application."""
         super().on_message_begin()
         self._head_bytes = 0
-        self.scope[CALLER_SOCKET] = CallerSocket(self.transport)  # type: ignore[literal-required]
+        self.scope[CALLER_SOCKET] = self._caller_socket  # type: ignore[literal-required]
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
@@ -129,16 +158,11 @@
         The event loop doesn't watch a socket that is not read: a caller that sent two requests and
         closed was noticed only when the first one was answered.
         """
-        if CallerSocket(self.transport).closed():
+        if self._caller_socket.closed():
             self.transport.abort()
         elif self.pipeline:
             self.loop.call_later(PAUSED_CHECK_S, self._check_paused)
 
-    def _disconnected(self) -> None:
-        if self._running is not None and not self._running.response_complete:
-            self._running.disconnected = True
-            self._running.message_event.set()
-
     def _count(self, *parts: bytes) -> None:
         self._head_bytes += sum(map(len, parts))
         if self._head_bytes > self._most_bytes:
--- a/packages/fleet/src/endivesaddle/fleet/routes/departures.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/departures.py
@@ -7,7 +7,8 @@
 
 import enum
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple, Protocol
 
 from endivesaddle.fleet.clock import Clock
@@ -46,6 +47,12 @@
     def closed(self) -> bool:
         """Return whether the caller has closed it, also if that has not been read yet."""
 
+    def subscribe(self, notify: Callable[[], None]) -> None:
+        """Call ``notify`` when the close has been read; it replaces the previous one."""
+
+    def unsubscribe(self, notify: Callable[[], None]) -> None:
+        """Don't call ``notify`` any more."""
+
 
 class Departure(NamedTuple):
     """How it was noticed that a caller is gone, and where its request was then."""
@@ -84,6 +91,18 @@
         if self.departure is None:
             self.departure = self._departures.record(self, seen_by)
 
+    @contextmanager
+    def notifies(self, notify: Callable[[], None]) -> Iterator[None]:
+        """Call ``notify`` if the close of the caller's connection is read within the block."""
+        if self._connection is None:
+            yield
+            return
+        self._connection.subscribe(notify)
+        try:
+            yield
+        finally:
+            self._connection.unsubscribe(notify)
+
     def sent(self, server: str) -> None:
         """Record that the request is sent to a server."""
         if self.departure is not None:
