Repeat the cancellation of a run until its sidecar has replied

What callers saw: nothing; the engine went on for a caller that had left, up to the caller's deadline, and the account was billed for it. Cause: the router told the sidecar once. If that message or its reply was lost, nothing else ended the run. Change: it is repeated, with pauses that double up to 2 s, until the sidecar replies or the deadline has passed, at which the sidecar stops the run itself.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -79,6 +79,17 @@
     Then requests: the run on server A was cancelled
     And requests: it is billed 4 tokens once
 
+  Scenario Outline: A caller that cannot retry disconnects while messages are lost
+    The run goes on for nobody until the deadline if the only message that would end it is lost.
+    Given requests: a fleet in two data centres
+    When requests: a caller that cannot retry disconnects while its <peer> is silent
+    Then requests: the run on server A was cancelled
+
+    Examples:
+      | peer    |
+      | sidecar |
+      | holder  |
+
   Scenario: A caller that can retry disconnects and retries
     The caller's connection breaks; the retry gets the whole answer.
     A request with an id of the caller isn't cancelled at once, and never while another call
--- a/features/subjects/requests_plays_holders.py
+++ b/features/subjects/requests_plays_holders.py
@@ -26,6 +26,30 @@
     await anyio.sleep(20)
 
 
+@PLAYS.add('a caller that cannot retry disconnects while its sidecar is silent')
+async def leaves_silent_sidecar(fleet: Fleet) -> None:
+    """Disconnect while messages to the sidecar are lost, for less than the run takes."""
+    await _leave_unheard(fleet, 'sidecar-A', silent_s=0.5)
+
+
+@PLAYS.add('a caller that cannot retry disconnects while its holder is silent')
+async def leaves_silent_holder(fleet: Fleet) -> None:
+    """Disconnect while messages to the holder are lost."""
+    await _leave_unheard(fleet, 'router-a1', silent_s=10)
+
+
+async def _leave_unheard(fleet: Fleet, address: str, silent_s: float) -> None:
+    async def lose_messages() -> None:
+        await anyio.sleep(MID_ANSWER_S - 0.1)
+        fleet.net.faults['router-a2', address] = Fault.SILENT
+        await anyio.sleep(silent_s)
+        del fleet.net.faults['router-a2', address]
+
+    fleet.group.start_soon(lose_messages)
+    await fleet.call_and_leave('ana', 'router-a2', MID_ANSWER_S, named=False)
+    await anyio.sleep(20)
+
+
 @PLAYS.add('a caller that can retry disconnects and retries')
 async def leaves_named(fleet: Fleet) -> None:
     """Disconnect, and retry before the run is cancelled."""
--- a/packages/fleet/src/endivesaddle/fleet/requests/finishing.py
+++ b/packages/fleet/src/endivesaddle/fleet/requests/finishing.py
@@ -15,6 +15,9 @@
 MAX_UNSETTLED = 4096
 """Settlements that one router retries at a time; the sidecars retry theirs as well."""
 
+CANCEL_PAUSE_MAX_S = 2.0
+"""Longest pause before a cancellation that was not answered is repeated."""
+
 
 class Finisher:
     """Settles the outcome of a call at its holder, or copies it to a router until it can."""
@@ -98,6 +101,7 @@
         return not await self._holder_client.note(call, message)
 
     async def _cancel(self, call: Call) -> None:
+        """Cancel a run; repeat the message until the sidecar has replied or stops it anyway."""
         record = call.record
         message = runs_pb2.CancelRequest(
             request_key=record.request_key,
@@ -105,12 +109,18 @@
             reason='the caller went away',
             incarnation=record.sidecar_incarnation,
         )
-        deadline_unix_s = self._context.now_s() + self._context.settings.call_s
-        try:
-            await self._context.peers.call(record.sidecar, rpcs.CANCEL, message, deadline_unix_s)
-        except (PeerUnreachable, PeerNoReply, PeerRefused):
-            # The sidecar stops the run at the caller's deadline anyway.
-            return
+        pause_s = self._context.settings.retry_pause_s
+        while self._context.now_s() < call.request.deadline_unix_s:
+            deadline_unix_s = self._context.now_s() + self._context.settings.call_s
+            try:
+                await self._context.peers.call(
+                    record.sidecar, rpcs.CANCEL, message, deadline_unix_s
+                )
+            except (PeerUnreachable, PeerNoReply, PeerRefused):
+                await anyio.sleep(pause_s)
+                pause_s = min(2 * pause_s, CANCEL_PAUSE_MAX_S)
+            else:
+                return
 
     def _message(self, call: Call, outcome: str, used_tokens: int) -> holders_pb2.SettleRequest:
         record = holders_pb2.Record()
