Cancel the run of a caller that can't come back without waiting for the holder

What callers saw: nothing; an engine went on to the end of the answer for a caller that had left. Cause: before the run was cancelled, the holder was asked whether another call waits for it. A holder that was silent took 2 s, and its silence counted as "another one may". Change: a request whose id the router made is cancelled at once, beside the note to the holder, since no other call can have its id. Requests that callers named, and those that may not be repeated, are as before.

--- a/packages/fleet/src/endivesaddle/fleet/requests/finishing.py
+++ b/packages/fleet/src/endivesaddle/fleet/requests/finishing.py
@@ -73,15 +73,24 @@
         if call.record.state == states.CLAIMED:
             await self.release(call)
             return
+        if not call.request.named:
+            await self._cancel_unnamed(call)
+            return
         is_last_call = await self._note_disconnect(call)
         if not (is_last_call and call.request.may_repeat):
             return
-        if call.request.named:
-            await anyio.sleep(self._context.settings.cancel_after_s)
-            is_last_call = await self._note_disconnect(call)
+        await anyio.sleep(self._context.settings.cancel_after_s)
+        is_last_call = await self._note_disconnect(call)
         if is_last_call:
             await self._cancel(call)
 
+    async def _cancel_unnamed(self, call: Call) -> None:
+        """Cancel a run at once, also if the holder is silent: no other call can have its id."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._note_disconnect, call)
+            if call.request.may_repeat:
+                await self._cancel(call)
+
     def _name_claim(self, call: Call) -> None:
         """Fill in the record of an unanswered claim, which may be pending or granted."""
         call.record.request_key = call.request.key
