Test how the front learns of a cancelled stream and of a close behind a second request

Cause: of the ways in which a caller of the OpenAI interface leaves, only the close of its one connection had a scenario. Change: a stream that is cancelled on an HTTP/2 connection, and a close behind a pipelined request.

--- a/features/callers_sockets.feature
+++ b/features/callers_sockets.feature
@@ -31,3 +31,13 @@
   Scenario: A closed connection closes the answer
     When the caller of an open stream closes its connection
     Then its answer is closed in the front
+
+  Scenario: A cancelled stream closes the answer
+    Many callers share a connection, so that only the end of the stream tells that one has left.
+    When the caller of an open stream cancels it
+    Then the front learns of it within half a second
+
+  Scenario: A close behind a second request closes the answer
+    Nothing is read from a connection while a request waits behind another one on it.
+    When the caller of an open stream sends another request and closes its connection
+    Then the front learns of it within half a second
--- a/features/steps/callers_sockets_steps.py
+++ b/features/steps/callers_sockets_steps.py
@@ -28,6 +28,26 @@
     context.subject.run(callers_sockets.disconnect, 600)
 
 
+@when('the caller of an open stream cancels it')
+def cancel_stream(context: Any) -> None:
+    """Cancel the stream; the connection stays open."""
+    context.subject = callers_sockets.CancellingCaller()
+    context.subject.run(callers_sockets.stop_and_hold, 0.05)
+
+
+@when('the caller of an open stream sends another request and closes its connection')
+def pipeline_and_close(context: Any) -> None:
+    """Send a request behind the first one and close."""
+    context.subject = callers_sockets.PipeliningCaller()
+    context.subject.run(callers_sockets.stop_and_hold, 0.05)
+
+
+@then('the front learns of it within half a second')
+def noticed(context: Any) -> None:
+    """Check whether the answer was closed in time."""
+    assert context.subject.noticed
+
+
 @when('a caller sends {count:d} chats over one connection and the HTTP server stops')
 def send_many(context: Any, count: int) -> None:
     """Send the chats one after the other."""
--- a/features/subjects/callers_sockets.py
+++ b/features/subjects/callers_sockets.py
@@ -5,6 +5,8 @@
 import anyio
 import httpx
 from anyio.abc import SocketStream
+from h2.connection import H2Connection
+from h2.events import DataReceived
 
 from endivesaddle.callers.app import CallersApp
 from endivesaddle.callers.server import serve
@@ -15,6 +17,7 @@
 
 CHAT = b'{"model": "boards", "messages": [{"role": "user", "content": "hi"}], "stream": true}'
 GUARD_S = 20
+NOTICE_S = 0.5
 FIRST = b'data: 1\n\n'
 LAST = b'data: [DONE]\n\n'
 CUT = b'(cut)'
@@ -53,6 +56,7 @@
         self.ended = False
         self.refused = False
         self.was_cut = False
+        self.noticed = False
         self.cut_count = 0
 
     def run(self, during: Callable[['OpenStream'], Awaitable[None]], stop_within_s: float) -> None:
@@ -148,6 +152,75 @@
         stream.shutdown.set()
 
 
+class LeavingCaller(CallersSockets):
+    """A caller that leaves, and the time until the front learns of it."""
+
+    async def _leave(self, connection: SocketStream) -> None:
+        """Leave while the answer is awaited."""
+        raise NotImplementedError
+
+    async def _send(self, connection: SocketStream, host: str) -> None:
+        """Send the request, and read until the answer has begun."""
+        raise NotImplementedError
+
+    async def _stream(
+        self, stream: OpenStream, during: Callable[[OpenStream], Awaitable[None]]
+    ) -> None:
+        host, _, port = stream.address.partition(':')
+        async with await anyio.connect_tcp(host, int(port)) as connection:
+            await self._send(connection, host)
+            await self._leave(connection)
+            with anyio.move_on_after(NOTICE_S):
+                await stream.front.cut.wait()
+            self.noticed = stream.front.cut.is_set()
+        stream.front.release.set()
+        await during(stream)
+
+
+class PipeliningCaller(LeavingCaller):
+    """A caller that sends a second request behind the first one, and closes."""
+
+    async def _send(self, connection: SocketStream, host: str) -> None:
+        head = f'POST /v1/chat/completions HTTP/1.1\r\nHost: {host}\r\nAuthorization: Bearer {KEY}'
+        request = f'{head}\r\nContent-Length: {len(CHAT)}\r\n\r\n'.encode() + CHAT
+        await connection.send(request + request)
+        while FIRST not in b''.join(self.received):
+            self.received.append(await connection.receive())
+
+    async def _leave(self, connection: SocketStream) -> None:
+        await connection.aclose()
+
+
+class CancellingCaller(LeavingCaller):
+    """A caller that cancels its stream on an HTTP/2 connection, which stays open."""
+
+    def __init__(self) -> None:
+        """Initialize without a stream."""
+        super().__init__()
+        self._http = H2Connection()
+
+    async def _send(self, connection: SocketStream, host: str) -> None:
+        headers = (
+            (':method', 'POST'),
+            (':scheme', 'http'),
+            (':authority', host),
+            (':path', '/v1/chat/completions'),
+            ('authorization', f'Bearer {KEY}'),
+        )
+        self._http.initiate_connection()
+        self._http.send_headers(1, headers)
+        self._http.send_data(1, CHAT, end_stream=True)
+        await connection.send(self._http.data_to_send())
+        while FIRST not in b''.join(self.received):
+            received = self._http.receive_data(await connection.receive())
+            self.received.extend(one.data for one in received if isinstance(one, DataReceived))
+            await connection.send(self._http.data_to_send())
+
+    async def _leave(self, connection: SocketStream) -> None:
+        self._http.reset_stream(1)
+        await connection.send(self._http.data_to_send())
+
+
 class BusyCaller(CallersSockets):
     """A caller that sends one chat after another over one connection."""
 
