Log the software version of servers, and which streams are taken up again

Change: entries of servers have a version, requests name the one that began their stream; forward_placed and server_known log the version, forward_taken_up where the stream began as far as this router knows and how long ago. Counters of streams that began, were taken up and continued. No request is handled differently. Result: forward_runs, users_platform, store_relay, departed_callers, evacuated, daemon_ready, forward_http pass.

--- a/packages/callers/src/endivesaddle/callers/forward_requests.py
+++ b/packages/callers/src/endivesaddle/callers/forward_requests.py
@@ -64,6 +64,7 @@
         parts=parts,
         last_event=last_event,
         began_unix_s=began_unix_s,
+        resumes=names.get(header_names.resumes, ''),
     )
 
 
--- a/packages/daemon/src/endivesaddle/daemon/forward_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_parts.py
@@ -14,6 +14,7 @@
 from endivesaddle.fleet.routes.prepaid_pools import PrepaidPools, PrepaidPoolsParts
 from endivesaddle.fleet.routes.routing_state import RoutingState, StoreStatus
 from endivesaddle.fleet.routes.store_watch import Decoder
+from endivesaddle.fleet.routes.stream_resumption import StreamResumption
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 
 
@@ -35,6 +36,7 @@
     directory: InstanceDirectory
     pools: PrepaidPools
     allocator: Allocator
+    streams: StreamResumption
 
 
 def decisions(
@@ -66,4 +68,7 @@
             settings.supply,
         )
     )
-    return Decisions(store, routing_state, store_status, dispatcher, directory, pools, allocator)
+    streams = StreamResumption(clock)
+    return Decisions(
+        store, routing_state, store_status, dispatcher, directory, pools, allocator, streams
+    )
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -87,7 +87,9 @@
         self._metrics = ForwardMetrics(self.state)
         parts.store.observer = self._metrics.store_called
         self._departures = Departures(clock, self._loop_lag.worst_s)
-        runner = Runner(parts.dispatcher, parts.pools, self.links, clock, self._departures)
+        runner = Runner(
+            parts.dispatcher, parts.pools, self.links, clock, self._departures, parts.streams
+        )
         self._app = ForwardApp(
             ForwardParts(
                 settings.http,
@@ -162,6 +164,7 @@
                 **parts.allocator.counters(),
                 **parts.dispatcher.counts,
                 **self._departures.counters(),
+                **parts.streams.counters(),
                 **self._overload.counters(),
                 **parts.dispatcher.waiting.counters(),
             },
--- a/packages/fleet/src/endivesaddle/fleet/routes/declared.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/declared.py
@@ -127,7 +127,8 @@
 
     A server may restart under its name: ``lifetime`` and ``born_unix_ms`` together identify the
     incarnation, and a greater ``born_unix_ms`` is newer.  ``cold_until_unix_s`` is 0 for a server
-    whose entry does not say that it is cold.
+    whose entry does not say that it is cold.  ``version`` is that of its software, '' if its entry
+    does not say.
     """
 
     lifetime: str
@@ -138,6 +139,7 @@
     leaving: bool = False
     born_unix_ms: int = 0
     cold_until_unix_s: float = 0.0
+    version: str = ''
 
     @property
     def incarnation(self) -> str:
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -23,6 +23,7 @@
     Sink,
 )
 from endivesaddle.fleet.routes.progress import Progress
+from endivesaddle.fleet.routes.stream_resumption import StreamResumption
 from endivesaddle.fleet.routing.dispatcher import Dispatcher, Placement
 from endivesaddle.fleet.sentinels import HAS_RUN, NOT_RUN, RUN_UNKNOWN, Refusal
 
@@ -63,6 +64,7 @@
     links: ServerConnections
     clock: Clock
     crashes: CrashDetector
+    streams: StreamResumption
 
 
 async def refuse(request: ForwardRequest, sink: Sink, refusal: Refusal) -> None:
@@ -144,6 +146,8 @@
             reading_tokens=placement.backend.prefilling_tokens,
             source=placement.source.server.lifetime if placement.source else '',
             servers_heard_s=self._parts.dispatcher.server_list_age_s(),
+            version=server.version,
+            last_event=self._progress.last_event,
         )
         placement.start()
         self._caller.stage = Stage.CONNECTING
@@ -249,6 +253,7 @@
                 self._first_event_unix_s = self._parts.clock.now_s()
                 self._progress.started = True
                 self._caller.stage = Stage.STREAMING
+                self._parts.streams.record(self.request, placement.backend.server)
                 await self._sink.start(response.status, response.headers)
             await self._sink.write(event)
         if not self._progress.started:
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -7,6 +7,7 @@
 
 from endivesaddle.fleet.routes.declared import Route, RouteAccount, RouteServer
 from endivesaddle.fleet.routing.backends import ForwardRoutingRequest
+from endivesaddle.fleet.routing.stream_origins import stream_key
 from endivesaddle.fleet.sentinels import Refusal
 
 DIGEST_BYTES = 16
@@ -20,7 +21,9 @@
     """One validated request on a route.
 
     ``end_unix_s`` is the caller's deadline or the end of the route's time-out,
-    whichever comes first.  ``cost_tokens`` is its worst case.
+    whichever comes first.  ``cost_tokens`` is its worst case.  ``last_event`` is the number of the
+    last event that the caller has of the stream that it takes up, -1 for none, and ``resumes`` the
+    id of the request that brought that stream's first event.
     """
 
     request_id: str
@@ -37,6 +40,7 @@
     parts: tuple[tuple[str, int], ...]
     last_event: int
     began_unix_s: float
+    resumes: str = ''
 
     @property
     def cost_tokens(self) -> int:
@@ -59,6 +63,17 @@
         named = [homes for homes in allowed if homes]
         return frozenset.intersection(*named) if named else None
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether its caller takes up a stream that an earlier request began."""
+        return self.route.streamed and (self.last_event >= 0 or bool(self.resumes))
+
+    @property
+    def stream_key(self) -> bytes:
+        """The key of its stream, the same for all requests that take the stream up."""
+        account = self.account.name if self.account else ''
+        return stream_key(account, self.resumes or self.request_id)
+
     def digest(self) -> str:
         """Return a digest that is the same for all attempts of a caller at this request.
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/header_names.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/header_names.py
@@ -29,7 +29,8 @@
     incarnation of the server that may run it.  By ``leaving`` (with "1") a server
     announces that this incarnation accepts no more requests, by ``limit`` the
     requests a second that it accepts from all routers together.  ``fetch`` names the
-    address of the engine that has shared parts of the prompt cached.  ``passed`` are
+    address of the engine that has shared parts of the prompt cached.  By ``resumes`` a caller
+    that takes up a stream names the request that brought its first event.  ``passed`` are
     response headers that are relayed to callers and have no effect on routing.
     """
 
@@ -46,6 +47,7 @@
     fetch: str = 'endivesaddle-fetch'
     priority: str = 'endivesaddle-priority'
     last_event: str = 'last-event-id'
+    resumes: str = 'endivesaddle-resumes'
     retry_after: str = 'retry-after'
     passed: frozenset[str] = frozenset()
     reserved: frozenset[str] = frozenset(
--- a/packages/fleet/src/endivesaddle/fleet/routes/routing_state.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/routing_state.py
@@ -78,6 +78,7 @@
             leaving=server.leaving,
             born_unix_ms=server.born_unix_ms,
             cold_until_unix_s=round(server.cold_until_unix_s, 2),
+            version=server.version,
             source=source,
         )
         self._notify()
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -18,6 +18,12 @@
 SENT_AFTER_GONE = event(
     2710, 'WARNING', 'forward_sent_after_gone', 'a request is sent although its caller is gone'
 )
+TAKEN_UP = event(
+    2712,
+    'INFO',
+    'forward_taken_up',
+    'a caller takes up a stream; where the stream began, how that is known and since when',
+)
 ENDED_AFTER_GONE = event(
     2711,
     'INFO',
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -11,6 +11,7 @@
 from endivesaddle.fleet.routes.prepaid_pools import PrepaidPools
 from endivesaddle.fleet.routes.progress import Progress
 from endivesaddle.fleet.routes.reservation import Reservation
+from endivesaddle.fleet.routes.stream_resumption import StreamResumption
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 from endivesaddle.fleet.sentinels import Refusal
 
@@ -28,10 +29,12 @@
         links: ServerConnections,
         clock: Clock,
         departures: Departures | None = None,
+        streams: StreamResumption | None = None,
     ) -> None:
         """Send requests over ``links``."""
         crashes = CrashDetector(dispatcher.crashes, dispatcher.routing_state, links, clock)
-        self.parts = ExecutionParts(dispatcher, links, clock, crashes)
+        self.streams = streams or StreamResumption(clock)
+        self.parts = ExecutionParts(dispatcher, links, clock, crashes, self.streams)
         self.departures = departures or Departures(clock)
         self._pools = pools
 
@@ -47,6 +50,8 @@
         if refusal is not None:
             await refuse(request, sink, refusal)
             return
+        if request.takes_up:
+            self.streams.take_up(request)
         reservation: Reservation | Refusal = Reservation(None, 0)
         if request.account is not None:
             caller.stage = Stage.RESERVING
--- a/packages/fleet/src/endivesaddle/fleet/routes/store_snapshot.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/store_snapshot.py
@@ -88,4 +88,5 @@
         message.leaving,
         message.born_unix_ms,
         now_unix_s + message.cold_s if message.cold_s else 0.0,
+        message.version,
     )
--- /dev/null
+++ b/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
@@ -0,0 +1,54 @@
+"""Streams that callers take up again after their answer broke off."""
+
+from collections import Counter
+
+from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.routes import run_events as events
+from endivesaddle.fleet.routes.declared import RouteServer
+from endivesaddle.fleet.routes.forwarded import ForwardRequest
+from endivesaddle.fleet.routing.stream_origins import StreamOrigin, StreamOrigins
+
+
+class StreamResumption:
+    """Records where the streams of one router began, and finds it for those that are taken up."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Initialize without streams."""
+        self.origins = StreamOrigins()
+        self._clock = clock
+        self._counts: Counter[str] = Counter()
+
+    def counters(self) -> dict[str, int]:
+        """Return the numbers of streams that began, were taken up and continued."""
+        return {
+            'streams_begun': 0,
+            'streams_taken_up': 0,
+            'streams_continued': 0,
+            'stream_origins': len(self.origins),
+            **self._counts,
+        }
+
+    def record(self, request: ForwardRequest, server: RouteServer) -> None:
+        """Record the server of a stream, right before its first event goes to the caller."""
+        self._counts['streams_continued' if request.takes_up else 'streams_begun'] += 1
+        self.origins.record(
+            request.stream_key,
+            StreamOrigin(server.service, server.version),
+            request.deadline_unix_s,
+            self._clock.now_s(),
+        )
+
+    def take_up(self, request: ForwardRequest) -> None:
+        """Log where a stream that is taken up began."""
+        now_unix_s = self._clock.now_s()
+        known = self.origins.find(request.stream_key, now_unix_s)
+        self._counts['streams_taken_up'] += 1
+        events.TAKEN_UP.log(
+            request_id=request.request_id,
+            resumes=request.resumes,
+            last_event=request.last_event,
+            service=known.origin.service if known else '',
+            version=known.origin.version if known else '',
+            known_by='own' if known else '',
+            age_s=round(now_unix_s - known.learned_unix_s, 3) if known else 0,
+        )
