--- a/packages/daemon/src/endivesaddle/daemon/forward_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_parts.py
@@ -68,7 +68,13 @@
             settings.supply,
         )
     )
-    streams = StreamResumption(clock)
     return Decisions(
-        store, routing_state, store_status, dispatcher, directory, pools, allocator, streams
+        store,
+        routing_state,
+        store_status,
+        dispatcher,
+        directory,
+        pools,
+        allocator,
+        StreamResumption(clock),
     )
