--- a/features/subjects/memory_sidecar.py
+++ b/features/subjects/memory_sidecar.py
@@ -38,3 +38,8 @@
         self._polling = asyncio.ensure_future(self._polls.run())
         own = Instance(SIDECAR, self._name, self._address, 'porto-a')
         await InstanceEntry(self._store, self._clock, own, SIDECAR_LEASE_S).renew()
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+        self._net.kill(self._address)
+        self._polling.cancel()
