Continue a stream only at servers of the version that began it, within one router

What callers saw: streams held events of two software versions of a service. Change: with its first event a stream has an origin, the service and the version of the server. Candidates are of that version alone, waiting requests of one origin share a queue, and where no server of the version is left the refusal is final and says so (stream_version_gone). The router remembers origins until the caller's deadline.

--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -253,7 +253,7 @@
                 self._first_event_unix_s = self._parts.clock.now_s()
                 self._progress.started = True
                 self._caller.stage = Stage.STREAMING
-                self._parts.streams.record(self.request, placement.backend.server)
+                self.request = self._parts.streams.begin(self.request, placement.backend.server)
                 await self._sink.start(response.status, response.headers)
             await self._sink.write(event)
         if not self._progress.started:
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -7,7 +7,7 @@
 
 from endivesaddle.fleet.routes.declared import Route, RouteAccount, RouteServer
 from endivesaddle.fleet.routing.backends import ForwardRoutingRequest
-from endivesaddle.fleet.routing.stream_origins import stream_key
+from endivesaddle.fleet.routing.stream_origins import StreamOrigin, stream_key
 from endivesaddle.fleet.sentinels import Refusal
 
 DIGEST_BYTES = 16
@@ -23,7 +23,8 @@
     ``end_unix_s`` is the caller's deadline or the end of the route's time-out,
     whichever comes first.  ``cost_tokens`` is its worst case.  ``last_event`` is the number of the
     last event that the caller has of the stream that it takes up, -1 for none, and ``resumes`` the
-    id of the request that brought that stream's first event.
+    id of the request that brought that stream's first event.  ``origin`` is where its stream began;
+    no other service or version may continue it.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     last_event: int
     began_unix_s: float
     resumes: str = ''
+    origin: StreamOrigin | None = None
 
     @property
     def cost_tokens(self) -> int:
@@ -63,6 +65,11 @@
         named = [homes for homes in allowed if homes]
         return frozenset.intersection(*named) if named else None
 
+    @property
+    def service(self) -> str:
+        """The service that serves it: the one that began its stream, else one of its route's."""
+        return self.origin.service if self.origin else self.route.service_of(self.request_id)
+
     @property
     def takes_up(self) -> bool:
         """Whether its caller takes up a stream that an earlier request began."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -51,7 +51,7 @@
             await refuse(request, sink, refusal)
             return
         if request.takes_up:
-            self.streams.take_up(request)
+            request = self.streams.take_up(request)
         reservation: Reservation | Refusal = Reservation(None, 0)
         if request.account is not None:
             caller.stage = Stage.RESERVING
--- a/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
@@ -28,18 +28,21 @@
             **self._counts,
         }
 
-    def record(self, request: ForwardRequest, server: RouteServer) -> None:
-        """Record the server of a stream, right before its first event goes to the caller."""
-        self._counts['streams_continued' if request.takes_up else 'streams_begun'] += 1
-        self.origins.record(
-            request.stream_key,
-            StreamOrigin(server.service, server.version),
-            request.deadline_unix_s,
-            self._clock.now_s(),
-        )
+    def begin(self, request: ForwardRequest, server: RouteServer) -> ForwardRequest:
+        """Record the server of a stream right before its first event goes to the caller.
 
-    def take_up(self, request: ForwardRequest) -> None:
-        """Log where a stream that is taken up began."""
+        Returns the request as one that only this service and version may continue.
+        """
+        self._counts['streams_continued' if request.takes_up else 'streams_begun'] += 1
+        origin = StreamOrigin(server.service, server.version)
+        if request.route.resumable:
+            self.origins.record(
+                request.stream_key, origin, request.deadline_unix_s, self._clock.now_s()
+            )
+        return request._replace(origin=origin)
+
+    def take_up(self, request: ForwardRequest) -> ForwardRequest:
+        """Return a request that takes up a stream with the stream's origin, if that is known."""
         now_unix_s = self._clock.now_s()
         known = self.origins.find(request.stream_key, now_unix_s)
         self._counts['streams_taken_up'] += 1
@@ -52,3 +55,4 @@
             known_by='own' if known else '',
             age_s=round(now_unix_s - known.learned_unix_s, 3) if known else 0,
         )
+        return request._replace(origin=known.origin) if known else request
--- a/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
@@ -14,10 +14,14 @@
 
 
 class NoServer(NamedTuple):
-    """Why no server is available, and the seconds until one may be, 0 if unknown."""
+    """Why no server is available, and the seconds until one may be, 0 if unknown.
+
+    With ``version_gone``, no server is left of the version that began the request's stream.
+    """
 
     reason: str
     wait_s: float = 0.0
+    version_gone: bool = False
 
 
 class Candidates:
@@ -43,7 +47,7 @@
 
         A server that rejects requests has said so; an unreachable one may be back.
         """
-        servers = self._in_home_regions(request, self._routing_state.available_servers(service))
+        servers = self._allowed(request, self._routing_state.available_servers(service))
         backends = [self._backends.of(one) for one in servers if one.lifetime not in exclude]
         backends = [backend for backend in backends if backend.accepts_requests(now_unix_s)]
         backends = [
@@ -59,9 +63,13 @@
         used up their retries.
         """
         evacuated_too = self._routing_state.staying_servers(service)
+        if request.origin and not _of_version(request, evacuated_too):
+            version = request.origin.version
+            reason = f'no server of version {version!r}, at which the stream began, is left'
+            return NoServer(reason, version_gone=True)
         if evacuated_too and not self._in_home_regions(request, evacuated_too):
             return NoServer('no server of the service is in a home region')
-        servers = self._in_home_regions(request, self._routing_state.available_servers(service))
+        servers = self._allowed(request, self._routing_state.available_servers(service))
         if evacuated_too and not servers:
             return NoServer('all servers of the service are in evacuated data centres', EVACUATED_S)
         next_send_unix_s = [
@@ -74,6 +82,12 @@
             'all servers of the service are cold, limited or turn requests away', wait_s
         )
 
+    def _allowed(
+        self, request: ForwardRequest, servers: tuple[RouteServer, ...]
+    ) -> tuple[RouteServer, ...]:
+        """Return the servers in the request's home regions that may continue its stream, if any."""
+        return _of_version(request, self._in_home_regions(request, servers))
+
     def _in_home_regions(
         self, request: ForwardRequest, servers: tuple[RouteServer, ...]
     ) -> tuple[RouteServer, ...]:
@@ -88,3 +102,16 @@
         return max(
             backend.rejecting_until_unix_s, self._send_limits.next_send_unix_s(backend, now_unix_s)
         )
+
+
+def _of_version(
+    request: ForwardRequest, servers: tuple[RouteServer, ...]
+) -> tuple[RouteServer, ...]:
+    """Return the servers of the version that began the request's stream, all if it has none.
+
+    What two versions write does not fit together, and servers don't check it.
+    """
+    origin = request.origin
+    if origin is None:
+        return servers
+    return tuple(one for one in servers if one.version == origin.version)
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -182,7 +182,7 @@
 
     async def place(self, request: ForwardRequest, exclude: frozenset[str]) -> Placement | Refusal:
         """Choose a server for a request; servers in ``exclude`` have had it already."""
-        service = request.route.service_of(request.request_id)
+        service = request.service
         if not exclude:
             self._retry_shares.of(service).record_request(self.now_s())
         routing_request = request.routing_request(service)
@@ -253,9 +253,7 @@
 
     def may_retry(self, request: ForwardRequest) -> bool:
         """Spend one retry of this router's share for the service; False if none is left."""
-        allowed = self._retry_shares.of(request.route.service_of(request.request_id)).allow(
-            self.now_s(), self.router_count
-        )
+        allowed = self._retry_shares.of(request.service).allow(self.now_s(), self.router_count)
         self.counts['repeats_allowed' if allowed else 'repeats_refused'] += 1
         return allowed
 
@@ -265,7 +263,7 @@
         If the service does not declare it, one event may be the whole response.  Counted as
         nothing, streams of a plain service would overdraw the account.
         """
-        service = self.routing_state.service(request.route.service_of(request.request_id))
+        service = self.routing_state.service(request.service)
         said = service.event_tokens if service else 0
         return said or request.max_tokens
 
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_refusals.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_refusals.py
@@ -19,6 +19,8 @@
 
 def no_server(found: NoServer, random: Random) -> Refusal:
     """Refuse because no server may get the request, with the wait until one may."""
+    if found.version_gone:
+        return Refusal('stream_version_gone', found.reason, NOT_RUN, UNAVAILABLE)
     refusal = overloaded(found.reason, random)
     if not found.wait_s:
         return refusal
--- a/packages/fleet/src/endivesaddle/fleet/routing/forward_waiting.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/forward_waiting.py
@@ -3,8 +3,9 @@
 Load pattern: the servers of a service are full, after a burst of the least urgent kind or because a
 third of the engines is gone, and callers that are refused retry at once.  Without I/O.
 
-Requests with the same home regions and the same servers tried before are in one queue, since the
-first of them has no server if and only if none of the others has one.
+Requests with the same home regions, the same servers tried before and the same version at which
+their streams began are in one queue, since the first of them has no server if and only if none of
+the others has one.
 """
 
 import math
@@ -226,7 +227,7 @@
 
 
 def _key(arrival: Arrival) -> tuple[object, ...]:
-    return arrival.request.homes, arrival.exclude
+    return arrival.request.homes, arrival.exclude, arrival.request.origin
 
 
 def _order(waiting: ForwardWaiting) -> tuple[int, float]:
