Keep the software versions of services on record, and refuse streams whose version can't be known

What callers saw: a stream that was taken up at a router that did not know it went on at any version. Cause: nobody remembers a stream beyond the router that began it, and no router knew which versions others use. Change: a version is put on record in the store, one key for all services, before a resumable stream begins at it. A router that does not know a stream reads the record, one read for all that wait: with one version alone the stream continues, with several it is refused as not run (stream_version_unknown, with a Retry-After only where someone did not answer). Routers that lost the store learn the record from others with the list of servers.

--- a/packages/daemon/src/endivesaddle/daemon/forward_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_parts.py
@@ -15,6 +15,7 @@
 from endivesaddle.fleet.routes.routing_state import RoutingState, StoreStatus
 from endivesaddle.fleet.routes.store_watch import Decoder
 from endivesaddle.fleet.routes.stream_resumption import StreamResumption
+from endivesaddle.fleet.routes.version_register import VersionRegister
 from endivesaddle.fleet.routing.dispatcher import Dispatcher
 
 
@@ -36,6 +37,7 @@
     directory: InstanceDirectory
     pools: PrepaidPools
     allocator: Allocator
+    register: VersionRegister
     streams: StreamResumption
 
 
@@ -50,8 +52,12 @@
     dispatcher = Dispatcher(
         settings.forward, routing_state, clock, place.lifetime, settings.waiting
     )
-    own = Instance(ROUTER, place.lifetime, place.listen, settings.forward.forward_data_centre)
-    directory = InstanceDirectory(store, clock, own)
+    register = VersionRegister(store, routing_state, clock, place.lifetime)
+    directory = InstanceDirectory(
+        store,
+        clock,
+        Instance(ROUTER, place.lifetime, place.listen, settings.forward.forward_data_centre),
+    )
     allocator = Allocator(
         AllocatorContext(place.lifetime, place.listen, store, clock, peers, settings.allocator)
     )
@@ -76,5 +82,6 @@
         directory,
         pools,
         allocator,
-        StreamResumption(clock),
+        register,
+        StreamResumption(clock, register),
     )
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -181,6 +181,7 @@
             self.parts.dispatcher.waiting.run,
             self._admission.run,
             self._crashes.run,
+            self.parts.register.run,
             self._loop_lag.run,
             self._run_overload,
             self._tend,
--- a/packages/fleet/src/endivesaddle/fleet/routes/departures.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/departures.py
@@ -22,9 +22,14 @@
 
 
 class Stage(enum.Enum):
-    """Where the request of a caller is; ``RESERVING`` is the wait for tokens of its account."""
+    """Where the request of a caller is.
+
+    In ``RESUMING`` the origin of its stream is looked for; ``RESERVING`` is the wait for tokens of
+    its account.
+    """
 
     READING = 'reading'
+    RESUMING = 'resuming'
     RESERVING = 'reserving'
     PLACING = 'placing'
     CONNECTING = 'connecting'
--- a/packages/fleet/src/endivesaddle/fleet/routes/routing_state.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/routing_state.py
@@ -9,6 +9,7 @@
 from endivesaddle.fleet.routes.declared import Declarations, RouteServer, Service
 from endivesaddle.fleet.routes.evacuations import Evacuations
 from endivesaddle.fleet.routes.leaving_servers import LeavingIncarnation, LeavingServers
+from endivesaddle.fleet.routing.service_versions import ServiceVersions
 
 Listener = Callable[[], None]
 
@@ -34,6 +35,7 @@
         self.limits = AdvertisedLimits()
         self.leaving_servers = LeavingServers()
         self.leaving_servers.listeners.append(self._mark_leaving)
+        self.versions = ServiceVersions()
         self._written_versions: dict[str, int] = {}
         self._by_service: dict[str, tuple[RouteServer, ...]] = {}
 
@@ -172,6 +174,7 @@
             if not server.leaving and server.data_centre not in self.evacuations.names:
                 grouped.setdefault(server.service, []).append(server)
         self._by_service = {name: tuple(members) for name, members in grouped.items()}
+        self.versions.list_servers(self.servers.values())
         for listener in self.listeners:
             listener()
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -51,7 +51,12 @@
             await refuse(request, sink, refusal)
             return
         if request.takes_up:
-            request = self.streams.take_up(request)
+            caller.stage = Stage.RESUMING
+            taken_up = await self.streams.take_up(request)
+            if isinstance(taken_up, Refusal):
+                await refuse(request, sink, taken_up)
+                return
+            request = taken_up
         reservation: Reservation | Refusal = Reservation(None, 0)
         if request.account is not None:
             caller.stage = Stage.RESERVING
--- a/packages/fleet/src/endivesaddle/fleet/routes/store_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/store_events.py
@@ -35,6 +35,15 @@
 LOOP_LAG = event(
     4618, 'INFO', 'process_late', 'the event loop lags: the processor of this process is overloaded'
 )
+VERSIONS_RECORDED = event(
+    4623, 'INFO', 'versions_recorded', 'the record of the software versions of services changed'
+)
+VERSIONS_LOST = event(
+    4624,
+    'INFO',
+    'versions_unread',
+    'the record of software versions could not be read or written now',
+)
 ENTRY_NOT_RENEWED = event(
     4614, 'INFO', 'entry_unkept', "this instance's entry in the store could not be renewed"
 )
--- a/packages/fleet/src/endivesaddle/fleet/routes/store_snapshot.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/store_snapshot.py
@@ -40,6 +40,8 @@
         routing_state = self._routing_state
         now_unix_s = self._clock.now_s()
         reply.sidecars.extend(self._directory.sidecars)
+        for service, versions in routing_state.versions.recorded.items():
+            reply.versions.add(service=service, versions=sorted(versions))
         if routing_state.evacuations.heard:
             reply.evacuations_told = True
             reply.evacuations_version = routing_state.evacuations.version
@@ -58,6 +60,7 @@
         if not self._directory.sidecars:
             # A router that starts during an outage learns of the sidecars only here.
             self._directory.sidecars = tuple(reply.sidecars)
+        routing_state.versions.learn({one.service: one.versions for one in reply.versions})
         if reply.evacuations_told:
             version = reply.evacuations_version
             routing_state.evacuations.replace(reply.evacuated, version, now_unix_s, address)
--- a/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
@@ -85,8 +85,15 @@
     def _allowed(
         self, request: ForwardRequest, servers: tuple[RouteServer, ...]
     ) -> tuple[RouteServer, ...]:
-        """Return the servers in the request's home regions that may continue its stream, if any."""
-        return _of_version(request, self._in_home_regions(request, servers))
+        """Return the servers in the request's home regions that may begin or continue its stream.
+
+        A stream begins at a version that is on record: otherwise another router could not know that
+        its version is not the only one.
+        """
+        allowed = _of_version(request, self._in_home_regions(request, servers))
+        if request.origin is not None or not request.route.resumable:
+            return allowed
+        return tuple(filter(self._routing_state.versions.may_begin, allowed))
 
     def _in_home_regions(
         self, request: ForwardRequest, servers: tuple[RouteServer, ...]
