Test what bounds the record and the copies of stream origins, and routes to several services

Cause: the record of versions may not refuse streams for good after a release, copies have to fit into the bandwidth for control at 410 routers, and the service of a stream is drawn by the id of each try. Change: five scenarios: a version leaves the record ten minutes after its last server, nothing is copied in the calm case, 5 KB a second of each router at 6 streams a second, a route to two services, a route that left one of them.

--- a/features/steps/resumed_streams_steps.py
+++ b/features/steps/resumed_streams_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from subjects.resumed_streams import StreamFleet
+from subjects.resumed_streams import OTHER_SERVICE, SERVICE, StreamFleet
 
 NOT_RUN = 'true'
 
@@ -23,6 +23,26 @@
     context.fleet.serve(count, version)
 
 
+@given('{count:d} servers of version {version} at another service, to which the route leads too')
+def serve_other(context: Any, count: int, version: str) -> None:
+    """Start servers of a second service."""
+    context.fleet.lead_to(SERVICE, OTHER_SERVICE)
+    context.fleet.serve(count, version, OTHER_SERVICE)
+
+
+@when('the route leads to the other service alone')
+def move(context: Any) -> None:
+    """Change the targets of the route."""
+    context.fleet.lead_to(OTHER_SERVICE)
+
+
+@when('{minutes:d} minutes pass')
+def wait(context: Any, minutes: int) -> None:
+    """Let time pass."""
+    context.fleet.sleep(60 * minutes)
+
+
+@when('{count:d} more streams begin')
 @given('{count:d} streams that have begun')
 def begin(context: Any, count: int) -> None:
     """Begin streams at all routers."""
@@ -53,6 +73,26 @@
     context.fleet.lose_everything()
 
 
+@when('{per_s:d} streams a second begin at each router for {seconds:d} s')
+def begin_steadily(context: Any, per_s: int, seconds: int) -> None:
+    """Begin streams steadily."""
+    context.seconds = seconds
+    context.fleet.begin_steadily(per_s, seconds)
+
+
+@then('nothing is copied')
+def nothing_copied(context: Any) -> None:
+    """Look at the calls."""
+    assert not context.fleet.copied_bytes()
+
+
+@then('copies take at most {limit:d} bytes a second of each of {routers:d} routers')
+def bandwidth(context: Any, limit: int, routers: int) -> None:
+    """Compare the bytes that a router sends and receives."""
+    per_s = context.fleet.copied_bytes() / context.seconds / routers
+    assert 0 < per_s <= limit, per_s
+
+
 @then('no stream has events of two versions')
 def one_version(context: Any) -> None:
     """Look at the events of each."""
--- a/features/subjects/resumed_streams.py
+++ b/features/subjects/resumed_streams.py
@@ -13,6 +13,7 @@
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerCall
 from endivesaddle.fleet.routes.running import Runner
+from endivesaddle.wire import rpcs
 from subjects.cut_router import CutRouter
 from subjects.forward_runs import RecordingSink, ScriptedAnswer, record_sent
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
@@ -27,9 +28,12 @@
 SETTLE_S = 1.0
 DEADLINE_S = 15.0
 ACCOUNT = RouteAccount('ateliers', (), None, None)
+OTHER_SERVICE = 'others'
 ROUTE = Route(
     'boards', 'host', '/b/', Repeat.STREAMED, 15000, 500, 1, (Target(SERVICE, 1),), 3, False, True
 )
+CALL_BYTES = 180
+"""Framing of a call in both directions, see docs/CAPACITY.md."""
 
 
 class VersionedAnswer(ScriptedAnswer):
@@ -88,13 +92,13 @@
         """Whether it has each event once."""
         return self.sink.finished and len(self.versions) == EVENTS
 
-    def start(self, runner: Runner, now_unix_s: float) -> None:
+    def start(self, runner: Runner, now_unix_s: float, route: Route = ROUTE) -> None:
         """Send a request, which takes the stream up if some of it has come."""
         self.sink = RecordingSink()
         request_id = f'attempt-{next(self._ids)}'
         request = ForwardRequest(
             request_id=request_id,
-            route=ROUTE,
+            route=route,
             account=ACCOUNT,
             method='POST',
             target='/b/x',
@@ -149,9 +153,22 @@
         self._numbers = itertools.count()
         self._loop.run(self._start, routers)
 
-    def serve(self, count: int, version: str) -> None:
+    def serve(self, count: int, version: str, service: str = SERVICE) -> None:
         """Start servers of a version."""
-        self._loop.run(self._serve, count, version)
+        self._loop.run(self._serve, count, version, service)
+
+    def lead_to(self, *services: str) -> None:
+        """Let the route lead to these services, in equal shares."""
+        self.route = ROUTE._replace(targets=tuple(Target(service, 1) for service in services))
+
+    def begin_steadily(self, per_s: float, seconds: float) -> None:
+        """Begin streams at each router, ``per_s`` of them a second."""
+        self._loop.run(self._begin_steadily, per_s, seconds)
+
+    def copied_bytes(self) -> int:
+        """Return the bytes of all calls for origins, with frames and packets, in all."""
+        path = rpcs.ORIGINS.path
+        return self._net.sent_bytes.get(path, 0) + CALL_BYTES * self._net.calls.get(path, 0)
 
     def begin(self, count: int) -> None:
         """Begin streams at all routers in turn."""
@@ -261,12 +278,12 @@
         await sidecar.start()
         return sidecar
 
-    async def _serve(self, count: int, version: str) -> None:
+    async def _serve(self, count: int, version: str, service: str) -> None:
         for number in range(count):
             lifetime = f'{version}-{number}'
             self.servers.running[lifetime] = asyncio.Event()
             address = f'{lifetime}:1'
-            server = RouteServer(lifetime, SERVICE, address, 'porto-a', 64, version=version)
+            server = RouteServer(lifetime, service, address, 'porto-a', 64, version=version)
             self._store.put(f'{SERVERS}{lifetime}', msgspec.json.encode(server))
         await anyio.sleep(SETTLE_S)
 
@@ -274,11 +291,16 @@
         self.callers = self._started(count, self._runners)
         await anyio.sleep(BEGUN_S)
 
+    async def _begin_steadily(self, per_s: float, seconds: float) -> None:
+        for _ in range(int(per_s * seconds)):
+            self.callers += self._started(len(self._runners), self._runners)
+            await anyio.sleep(1 / per_s)
+
     def _started(self, count: int, runners: list[Runner]) -> list[StreamCaller]:
         callers = [StreamCaller(self._numbers) for _ in range(count)]
         for number, caller in enumerate(callers):
             caller.began_at = number % len(runners)
-            caller.start(runners[caller.began_at], self._clock.now_s())
+            caller.start(runners[caller.began_at], self._clock.now_s(), self.route)
         return callers
 
     async def _disconnect(self) -> None:
@@ -292,12 +314,12 @@
             runner = self._runners[(caller.began_at + step) % len(self._runners)]
             if step and runner is self._runners[0]:
                 runner = self._runners[1]
-            caller.start(runner, self._clock.now_s())
+            caller.start(runner, self._clock.now_s(), self.route)
         await self._finish()
 
     def _start_tries(self, runner: Runner) -> None:
         for caller in self.callers:
-            caller.start(runner, self._clock.now_s())
+            caller.start(runner, self._clock.now_s(), self.route)
 
     async def _finish(self) -> None:
         for caller in self.callers:
