Fetch shared parts from engines of the same software version only

Change: sources are kept by data centre and version; the chosen engine gets one of its own version. Result: of two examples of prefix_fetch.feature one named an engine of another version before, both pass.

--- a/features/prefix_fetch.feature
+++ b/features/prefix_fetch.feature
@@ -35,6 +35,8 @@
       | declared | one sends 5                     | one    |
       | declared | one sends 5, three sends 2      | three  |
       | declared | one sends 5, far sends 2        | one    |
+      | declared | one sends 5, one upgraded       |        |
+      | declared | one sends 2, three sends 5, one upgraded | three |
       | declared | far sends 2                     | far    |
       | declared | one begins                      | one    |
       | off      | one sends 5                     |        |
--- a/features/subjects/fetch_choice.py
+++ b/features/subjects/fetch_choice.py
@@ -66,6 +66,12 @@
         """Announce in its entry that a server leaves."""
         self.enter(name, BORN_UNIX_MS, leaving=True)
 
+    def upgraded(self, name: str) -> None:
+        """Let a server have another software version than all others."""
+        server = self._state.servers[name]._replace(version='v2')
+        self._state.update_server(server, 'test')
+        self._backend(name)
+
     def restarts(self, name: str) -> None:
         """Start a server again under its name."""
         self.enter(name, 2 * BORN_UNIX_MS)
--- a/packages/fleet/src/endivesaddle/fleet/routing/prefix_fetch.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/prefix_fetch.py
@@ -62,38 +62,43 @@
 
 
 class PrefixSources:
-    """The engines that have shared parts of one request."""
+    """The engines that have shared parts of one request.
+
+    An engine fetches from engines of its own software version only: what two versions write does
+    not fit together, and engines don't check it.
+    """
 
     def __init__(self, context: FetchContext, service: Service) -> None:
-        """Find the best source of each data centre, in one pass over the engines."""
+        """Find the best source of each data centre and version, in one pass over the engines."""
         self._prompt_tokens = context.request.prompt_tokens
         self._ms_per_token = (
             service.token_bytes * BITS_PER_BYTE * _MS / (service.transfer_mbps * BITS_PER_MEGABIT)
         )
-        self._holders: dict[str, _Holder] = {}
+        self._holders: dict[tuple[str, str], _Holder] = {}
         shared = context.request.parts[:-1]
         for backend in context.backends:
             tokens, sent_unix_s = backend.parts.ready_prefix(shared, context.now_unix_s)
             if tokens < MIN_FETCHED_TOKENS or not _can_serve(backend, context.now_unix_s):
                 continue
             holder = _Holder(tokens, sent_unix_s, backend.server)
-            best = self._holders.get(backend.server.data_centre)
+            place = (backend.server.data_centre, backend.server.version)
+            best = self._holders.get(place)
             if best is None or holder.order > best.order:
-                self._holders[backend.server.data_centre] = holder
-        self._best = max(self._holders.values(), key=lambda one: one.order, default=None)
+                self._holders[place] = holder
 
     def source_for(self, chosen: Backend, uncached_tokens: int) -> PrefixSource | None:
         """Return the source for an engine that lacks ``uncached_tokens`` of the prompt.
 
         None if the engine has the parts, or if the fetch takes longer than the prefill.
         """
-        if self._best is None:
+        if not self._holders:
             return None
         cached_tokens = self._prompt_tokens - uncached_tokens
-        near = self._holders.get(chosen.server.data_centre)
-        return self._from(near, chosen, cached_tokens) or self._from(
-            self._best, chosen, cached_tokens
-        )
+        version = chosen.server.version
+        near = self._holders.get((chosen.server.data_centre, version))
+        same_version = [one for place, one in self._holders.items() if place[1] == version]
+        best = max(same_version, key=lambda one: one.order, default=None)
+        return self._from(near, chosen, cached_tokens) or self._from(best, chosen, cached_tokens)
 
     def _from(
         self, holder: _Holder | None, chosen: Backend, cached_tokens: int
