Test closes and resets behind one and many requests, and log what noticed a close

Cause: one way of a close behind a second request had a scenario, and the line caller_gone did not tell how the close was noticed. Change: scenarios for a reset, for a close behind so much that the socket is not watched, and for a second request whose caller stays; the line has seen_by. What is sent in the listed scenario is as before.

--- a/features/callers_sockets.feature
+++ b/features/callers_sockets.feature
@@ -41,3 +41,17 @@
     Nothing is read from a connection while a request waits behind another one on it.
     When the caller of an open stream sends another request and closes its connection
     Then the front learns of it within half a second
+
+  Scenario: A reset behind a second request closes the answer
+    When the caller of an open stream sends another request and resets its connection
+    Then the front learns of it within half a second
+
+  Scenario: A close behind many requests closes the answer
+    So much is unread that the event loop stops watching the connection.
+    When the caller of an open stream sends 2000 more requests and closes its connection
+    Then the front learns of it within half a second
+
+  Scenario: A second request behind the first one is answered
+    Otherwise the scenarios above would pass with a server that takes each second request for a close.
+    When a caller sends two requests at once on one connection
+    Then both are answered
--- a/features/steps/callers_sockets_steps.py
+++ b/features/steps/callers_sockets_steps.py
@@ -42,6 +42,34 @@
     context.subject.run(callers_sockets.stop_and_hold, 0.05)
 
 
+@when('the caller of an open stream sends another request and resets its connection')
+def pipeline_and_reset(context: Any) -> None:
+    """Send a request behind the first one and reset."""
+    context.subject = callers_sockets.PipeliningCaller(resets=True)
+    context.subject.run(callers_sockets.stop_and_hold, 0.05)
+
+
+@when('the caller of an open stream sends {more:d} more requests and closes its connection')
+def pipeline_many(context: Any, more: int) -> None:
+    """Send many requests behind the first one and close."""
+    context.subject = callers_sockets.PipeliningCaller(more)
+    context.subject.run(callers_sockets.stop_and_hold, 0.05)
+
+
+@when('a caller sends two requests at once on one connection')
+def pipeline_and_read(context: Any) -> None:
+    """Read both answers."""
+    context.subject = callers_sockets.PatientCaller()
+    context.subject.run(callers_sockets.stop_and_hold, 600)
+
+
+@then('both are answered')
+def both(context: Any) -> None:
+    """Check the answers; the subject reads until it has both."""
+    assert b''.join(context.subject.received).count(callers_sockets.LAST) == 2
+    assert not context.subject.was_cut
+
+
 @then('the front learns of it within half a second')
 def noticed(context: Any) -> None:
     """Check whether the answer was closed in time."""
--- a/features/subjects/callers_sockets.py
+++ b/features/subjects/callers_sockets.py
@@ -1,10 +1,12 @@
 """Subject: the HTTP interface on a real socket, with hypercorn as server and httpx as client."""
 
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
 import httpx
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 from h2.connection import H2Connection
 from h2.events import DataReceived
 
@@ -178,19 +180,48 @@
 
 
 class PipeliningCaller(LeavingCaller):
-    """A caller that sends a second request behind the first one, and closes."""
+    """A caller that sends more requests behind the first one, and closes or resets."""
+
+    def __init__(self, more: int = 1, *, resets: bool = False) -> None:
+        """Initialize with the number of further requests."""
+        super().__init__()
+        self._more = more
+        self._resets = resets
 
     async def _send(self, connection: SocketStream, host: str) -> None:
         head = f'POST /v1/chat/completions HTTP/1.1\r\nHost: {host}\r\nAuthorization: Bearer {KEY}'
         request = f'{head}\r\nContent-Length: {len(CHAT)}\r\n\r\n'.encode() + CHAT
-        await connection.send(request + request)
+        await connection.send(request * (1 + self._more))
         while FIRST not in b''.join(self.received):
             self.received.append(await connection.receive())
 
     async def _leave(self, connection: SocketStream) -> None:
+        if self._resets:
+            raw = connection.extra(SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
         await connection.aclose()
 
 
+class PatientCaller(PipeliningCaller):
+    """A caller that sends two requests at once and reads both answers."""
+
+    async def _leave(self, connection: SocketStream) -> None:
+        await anyio.sleep(NOTICE_S)
+
+    async def _stream(
+        self, stream: OpenStream, during: Callable[[OpenStream], Awaitable[None]]
+    ) -> None:
+        host, _, port = stream.address.partition(':')
+        async with await anyio.connect_tcp(host, int(port)) as connection:
+            await self._send(connection, host)
+            await self._leave(connection)
+            assert not stream.front.cut.is_set()
+            stream.front.release.set()
+            while b''.join(self.received).count(LAST) < 2:
+                self.received.append(await connection.receive())
+        await during(stream)
+
+
 class CancellingCaller(LeavingCaller):
     """A caller that cancels its stream on an HTTP/2 connection, which stays open."""
 
--- a/packages/callers/src/endivesaddle/callers/exchange.py
+++ b/packages/callers/src/endivesaddle/callers/exchange.py
@@ -25,6 +25,8 @@
 JSON = 'application/json'
 _LENGTH = 'content-length'
 _DISCONNECT = 'http.disconnect'
+SEEN_BY = 'endivesaddle.seen_by'
+"""The key of a message that tells of a close: what noticed it, if not the server itself."""
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -61,6 +63,7 @@
         self.started = False
         self.ending = False
         self.stalled = False
+        self.close_seen_by = ''
         self._sending_since_s = math.inf
 
     @property
@@ -139,9 +142,10 @@
         await self.reply(status, msgspec.json.encode(document), headers)
 
     async def _disconnected(self) -> None:
-        kind = ''
-        while kind != _DISCONNECT:
-            kind = (await self._receive())['type']
+        message: Message = {'type': ''}
+        while message['type'] != _DISCONNECT:
+            message = await self._receive()
+        self.close_seen_by = message.get(SEEN_BY, 'server')
 
     async def _put(self, message: Message) -> None:
         self._sending_since_s = self._loop.time()
--- a/packages/callers/src/endivesaddle/callers/serving.py
+++ b/packages/callers/src/endivesaddle/callers/serving.py
@@ -102,7 +102,10 @@
     # would interrupt the server's last send and leave the connection unusable.
     if exchange.ending and not exchange.stalled:
         return
-    (events.STALLED if exchange.stalled else events.DISCONNECTED).log(request=request.key)
+    if exchange.stalled:
+        events.STALLED.log(request=request.key)
+    else:
+        events.DISCONNECTED.log(request=request.key, seen_by=exchange.close_seen_by)
     context.metrics.ended('gone')
     scope.cancel()
 
