Notice a caller's close on the OpenAI interface also while its connection is not read

What callers saw: nothing; an engine went on for a caller that had sent a second request and left. Cause: hypercorn reads nothing from a connection while a request waits there behind another one, and nobody else looked. Change: the listening socket registers the connections that it accepts with an epoll, and a request is told of a close that the server has not read.

--- a/packages/callers/src/endivesaddle/callers/exchange.py
+++ b/packages/callers/src/endivesaddle/callers/exchange.py
@@ -24,7 +24,7 @@
 
 JSON = 'application/json'
 _LENGTH = 'content-length'
-_DISCONNECT = 'http.disconnect'
+DISCONNECT = 'http.disconnect'
 SEEN_BY = 'endivesaddle.seen_by'
 """The key of a message that tells of a close: what noticed it, if not the server itself."""
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -143,7 +143,7 @@
 
     async def _disconnected(self) -> None:
         message: Message = {'type': ''}
-        while message['type'] != _DISCONNECT:
+        while message['type'] != DISCONNECT:
             message = await self._receive()
         self.close_seen_by = message.get(SEEN_BY, 'server')
 
@@ -156,7 +156,7 @@
         parts = bytearray()
         while True:
             message = await self._receive()
-            if message['type'] == _DISCONNECT:
+            if message['type'] == DISCONNECT:
                 raise CallerGone
             parts += message.get('body', b'')
             if len(parts) > max_bytes:
--- a/packages/callers/src/endivesaddle/callers/server.py
+++ b/packages/callers/src/endivesaddle/callers/server.py
@@ -8,10 +8,11 @@
 from anyio.abc import TaskStatus
 from anyio.lowlevel import checkpoint
 from hypercorn.asyncio import serve as serve_asgi
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 
 from endivesaddle.callers import events
 from endivesaddle.callers.app import CallersApp
+from endivesaddle.callers.caller_closes import CallerCloses, ClosesToApp, WatchedListener
 from endivesaddle.callers.listening import BACKLOG, listen
 from endivesaddle.callers.settings import CallersSettings
 
@@ -35,10 +36,11 @@
     bound = f'{host}:{port}'
     events.LISTENING.log(http_address=bound)
     task_status.started(bound)
-    application: Any = app
-    config = _config(listener, app.settings, stop_within_s)
     try:
-        await serve_asgi(application, config, shutdown_trigger=shutdown.wait)
+        with CallerCloses() as closes:
+            config = _Config(WatchedListener(listener, closes), app.settings, stop_within_s)
+            application: Any = ClosesToApp(app, closes)
+            await serve_asgi(application, config, shutdown_trigger=shutdown.wait)
     except asyncio.InvalidStateError:
         # hypercorn's clean-up fails when it is cancelled; only the cancellation matters here.
         await checkpoint()
@@ -49,13 +51,21 @@
         events.STOPPED.log(http_address=bound)
 
 
-def _config(listener: socket.socket, settings: CallersSettings, stop_within_s: float) -> Config:
-    config = Config()
-    config.bind = [f'fd://{listener.detach()}']
-    config.backlog = BACKLOG
-    config.errorlog = None
-    config.include_server_header = False
-    config.graceful_timeout = stop_within_s
-    config.keep_alive_timeout = settings.keep_alive_s
-    config.keep_alive_max_requests = settings.requests_a_connection
-    return config
+class _Config(Config):
+    """The settings of hypercorn for one listening socket."""
+
+    def __init__(
+        self, listener: socket.socket, settings: CallersSettings, stop_within_s: float
+    ) -> None:
+        super().__init__()
+        self.backlog = BACKLOG
+        self.errorlog = None
+        self.include_server_header = False
+        self.graceful_timeout = stop_within_s
+        self.keep_alive_timeout = settings.keep_alive_s
+        self.keep_alive_max_requests = settings.requests_a_connection
+        self._listener = listener
+
+    def create_sockets(self) -> Sockets:
+        """Return the socket to serve on, which is bound already."""
+        return Sockets([], [self._listener], [])
