--- a/packages/fleet/src/endivesaddle/fleet/routes/origin_copies.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/origin_copies.py
@@ -105,12 +105,16 @@
     async def ask(self, key: bytes) -> FoundCopy:
         """Ask the instances that may keep a stream's origin, all at once.
 
-        Those that don't answer this router are asked through others, which may reach them.
+        Those that don't answer this router are asked through others, which may reach them; those
+        that have not answered lately are not waited for.
         """
         addresses = ranked(key, self._candidates())
-        inquiry = _Inquiry(self._parts, key)
-        await inquiry.ask([(address, '') for address in addresses[:MAX_ASKED]])
+        asked = addresses[:MAX_ASKED]
+        inquiry = _Inquiry(self._parts, key, {one for one in asked if not self._usable(one)})
+        await inquiry.ask([(address, '') for address in asked if address not in inquiry.failed])
         failed = sorted(inquiry.failed)
+        for silent in inquiry.unanswered:
+            self._backoff.record_failure(silent)
         relays = [one for one in addresses if one not in inquiry.failed][:MAX_RELAYS]
         if failed and inquiry.origin is None:
             await inquiry.ask([(relay, address) for address in failed for relay in relays])
@@ -126,6 +130,9 @@
         addresses = directory.sidecars or directory.others.values()
         return {address: known.get(address, '') for address in addresses}
 
+    def _usable(self, address: str) -> bool:
+        return self._backoff.usable(address)
+
     def _needed(self, route: Route) -> bool:
         routing_state = self._parts.routing_state
         if self.leaving or self._parts.store_status.unavailable or routing_state.versions.mixed:
@@ -147,7 +154,7 @@
         usable = {
             address: data_centre
             for address, data_centre in self._candidates().items()
-            if self._backoff.usable(address)
+            if self._usable(address)
         }
         batches: dict[str, list[bytes]] = {}
         if not usable:
@@ -196,11 +203,15 @@
 
 
 class _Inquiry:
-    """The questions for one stream's origin; ``failed`` are the instances that were not reached."""
+    """The questions for one stream's origin.
+
+    ``failed`` are the instances that nobody reached, ``unanswered`` those that this router asked.
+    """
 
-    def __init__(self, parts: CopiedParts, key: bytes) -> None:
+    def __init__(self, parts: CopiedParts, key: bytes, avoided: set[str]) -> None:
         self.origin: StreamOrigin | None = None
-        self.failed: set[str] = set()
+        self.failed = avoided
+        self.unanswered: set[str] = set()
         self._parts = parts
         self._key = key
 
@@ -217,6 +228,7 @@
             reply = await self._parts.peers.call(address, rpcs.ORIGINS, request, deadline_unix_s)
         except (FleetError, TimeoutError) as error:
             self.failed.add(ask_at or address)
+            self.unanswered.add(address)
             events.ORIGINS_UNASKED.log(address=address, ask_at=ask_at, reason=str(error))
             return
         if ask_at and not reply.unreached:
--- a/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
@@ -123,6 +123,9 @@
             return _Finding(known.origin, 'own', known.learned_unix_s)
         if self._parts is None:
             return _Finding(None, 'nobody')
+        if not request.resumes:
+            # A caller that does not name its stream: only the record can tell.
+            return self._by_record(request, await self._parts.register.read(), unsure=False)
         async with anyio.create_task_group() as group:
             record = _Started(group, self._parts.register.read)
             copy = await self._parts.copies.ask(request.stream_key)
@@ -130,12 +133,18 @@
                 group.cancel_scope.cancel()
         if copy.origin is not None:
             return _Finding(copy.origin, 'copy', self._clock.now_s())
-        if record.result is None:
+        return self._by_record(request, record.result, unsure=not copy.sure)
+
+    def _by_record(
+        self, request: ForwardRequest, recorded: Versions | None, *, unsure: bool
+    ) -> _Finding:
+        """Return the only origin that is on record; None stands for a record that was not read."""
+        if recorded is None:
             return _Finding(None, 'nobody', unsure=True)
-        origin = only_origin(record.result, request.route)
-        if origin is not None:
-            return _Finding(origin, 'record', self._clock.now_s())
-        return _Finding(None, 'nobody', unsure=not copy.sure)
+        origin = only_origin(recorded, request.route)
+        if origin is None:
+            return _Finding(None, 'nobody', unsure=unsure)
+        return _Finding(origin, 'record', self._clock.now_s())
 
     def _record(self, request: ForwardRequest, origin: StreamOrigin) -> None:
         if not request.route.resumable:
