Play streams that are taken up again and again while everything around them fails

Cause: each way by which a stream continues had a case, alone; and nothing held that a version is on record before a stream begins at it.

--- a/features/resumed_streams.feature
+++ b/features/resumed_streams.feature
@@ -96,6 +96,17 @@
     Then no stream has events of two versions
     And the streams of version v1 are refused as not run, with code stream_version_gone
 
+  Scenario: No stream begins at a version that is not on record
+    A router that knows neither the stream nor the version would take the recorded one for the only one.
+    Given 3 routers and 4 sidecars
+    And 2 servers of version v1
+    When the store refuses writes
+    And 4 servers of version v2 start
+    And 24 more streams begin
+    And they continue at the same router
+    Then all streams are of version v1
+    And all streams are complete
+
   Scenario: A version without servers leaves the record
     Otherwise streams that nobody remembers would be refused for good after the first release.
     Given 3 routers and 4 sidecars
--- a/features/steps/resumed_streams_steps.py
+++ b/features/steps/resumed_streams_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from subjects.resumed_streams import OTHER_SERVICE, SERVICE, StreamFleet
+from subjects.resumed_streams_chaos import StreamChaos
 
 NOT_RUN = 'true'
 
@@ -36,6 +37,19 @@
     context.fleet.lead_to(OTHER_SERVICE)
 
 
+@when('the store refuses writes')
+def refuse_writes(context: Any) -> None:
+    """Keep new versions off the record."""
+    context.fleet.refuse_writes()
+
+
+@then('all streams are of version {version}')
+def all_of(context: Any, version: str) -> None:
+    """Look at the events of each."""
+    versions = {version for caller in context.fleet.callers for version in caller.versions}
+    assert versions == {version}, versions
+
+
 @when('{minutes:d} minutes pass')
 def wait(context: Any, minutes: int) -> None:
     """Let time pass."""
@@ -125,3 +139,19 @@
     begun = [bool(one.versions) for one in context.fleet.fresh]
     assert all(begun), begun
     assert sum(continued) / len(continued) >= 0.5 * sum(begun) / len(begun), continued
+
+
+@when('streams are taken up again and again in play {seed:d}')
+def play(context: Any, seed: int) -> None:
+    """Play faults and releases."""
+    context.fleet = StreamChaos(seed)
+    context.add_cleanup(context.fleet.close)
+    context.fleet.play()
+    assert context.fleet.counts['taken up']
+
+
+@then('at least half of the streams are complete')
+def half(context: Any) -> None:
+    """Otherwise a router that refuses every stream would pass."""
+    complete = [caller.complete for caller in context.fleet.callers]
+    assert 2 * sum(complete) >= len(complete), (sum(complete), len(complete))
--- a/features/subjects/resumed_streams.py
+++ b/features/subjects/resumed_streams.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from endivesaddle.fleet.errors import StoreUnreachable
 from endivesaddle.fleet.interfaces import ServerLost
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerCall
@@ -85,6 +86,7 @@
         self.sink = RecordingSink()
         self._ids = iter(ids)
         self._resumes = ''
+        self._deadline_unix_s = 0.0
         self._serving: asyncio.Future[None] | None = None
 
     @property
@@ -95,6 +97,7 @@
     def start(self, runner: Runner, now_unix_s: float, route: Route = ROUTE) -> None:
         """Send a request, which takes the stream up if some of it has come."""
         self.sink = RecordingSink()
+        self._deadline_unix_s = self._deadline_unix_s or now_unix_s + DEADLINE_S
         request_id = f'attempt-{next(self._ids)}'
         request = ForwardRequest(
             request_id=request_id,
@@ -104,8 +107,8 @@
             target='/b/x',
             headers=(('host', 'host'),),
             body=b'',
-            deadline_unix_s=now_unix_s + DEADLINE_S,
-            end_unix_s=now_unix_s + DEADLINE_S,
+            deadline_unix_s=self._deadline_unix_s,
+            end_unix_s=self._deadline_unix_s,
             prompt_tokens=0,
             max_tokens=0,
             parts=(),
@@ -116,6 +119,17 @@
         self._resumes = self._resumes or request_id
         self._serving = asyncio.ensure_future(runner.serve(request, self.sink))
 
+    def waits(self) -> bool:
+        """Return whether a try is under way."""
+        return self._serving is not None and not self._serving.done()
+
+    def may_return(self, now_unix_s: float) -> bool:
+        """Return whether it takes the stream up again: it is incomplete, and not for good."""
+        refusal = self.sink.refusal
+        final = refusal is not None and not refusal.retry_after_s
+        in_time = not self._deadline_unix_s or now_unix_s < self._deadline_unix_s
+        return in_time and not self.complete and not final
+
     async def disconnect(self) -> None:
         """Lose the connection, with what has come so far."""
         if self._serving is not None:
@@ -161,6 +175,14 @@
         """Let the route lead to these services, in equal shares."""
         self.route = ROUTE._replace(targets=tuple(Target(service, 1) for service in services))
 
+    def refuse_writes(self) -> None:
+        """Let the store refuse all writes from now on."""
+
+        async def refuse(*_: object) -> None:
+            raise StoreUnreachable('refused')
+
+        vars(self._store)['swap'] = refuse
+
     def begin_steadily(self, per_s: float, seconds: float) -> None:
         """Begin streams at each router, ``per_s`` of them a second."""
         self._loop.run(self._begin_steadily, per_s, seconds)
