--- a/features/subjects/resumed_streams.py
+++ b/features/subjects/resumed_streams.py
@@ -181,7 +181,7 @@
         async def refuse(*_: object) -> None:
             raise StoreUnreachable('refused')
 
-        vars(self._store)['swap'] = refuse
+        self._store.swap = refuse
 
     def begin_steadily(self, per_s: float, seconds: float) -> None:
         """Begin streams at each router, ``per_s`` of them a second."""
