Log since when the instance that keeps a copy has known where a stream began

Cause: reading the change as a newcomer: forward_taken_up had no age for origins that another instance knew. Change: copies carry how long their sender has known them.

--- a/packages/fleet/src/endivesaddle/fleet/routes/origin_copies.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/origin_copies.py
@@ -46,9 +46,13 @@
 
 
 class FoundCopy(NamedTuple):
-    """An origin that another instance keeps; ``sure`` if none of those that were asked failed."""
+    """An origin that another instance keeps, and since when.
+
+    It is ``sure`` if none of those that may keep it failed to answer.
+    """
 
     origin: StreamOrigin | None
+    learned_unix_s: float
     sure: bool
 
 
@@ -118,7 +122,7 @@
         relays = [one for one in addresses if one not in inquiry.failed][:MAX_RELAYS]
         if failed and inquiry.origin is None:
             await inquiry.ask([(relay, address) for address in failed for relay in relays])
-        return FoundCopy(inquiry.origin, not inquiry.failed)
+        return FoundCopy(inquiry.origin, inquiry.learned_unix_s, not inquiry.failed)
 
     def _candidates(self) -> dict[str, str]:
         """Return the data centres of the instances that may keep copies, by address.
@@ -210,6 +214,7 @@
 
     def __init__(self, parts: CopiedParts, key: bytes, avoided: set[str]) -> None:
         self.origin: StreamOrigin | None = None
+        self.learned_unix_s = 0.0
         self.failed = avoided
         self.unanswered: set[str] = set()
         self._parts = parts
@@ -235,4 +240,5 @@
             self.failed.discard(ask_at)
         for one in reply.origins:
             self.origin = StreamOrigin(one.service, one.version)
+            self.learned_unix_s = self._parts.clock.now_s() - one.age_s
             asking.cancel()
--- a/packages/fleet/src/endivesaddle/fleet/routes/origin_holders.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/origin_holders.py
@@ -30,4 +30,5 @@
         service=known.origin.service,
         version=known.origin.version,
         kept_s=known.until_unix_s - now_unix_s,
+        age_s=now_unix_s - known.learned_unix_s,
     )
--- a/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/stream_resumption.py
@@ -132,7 +132,7 @@
             if copy.origin is not None:
                 group.cancel_scope.cancel()
         if copy.origin is not None:
-            return _Finding(copy.origin, 'copy', self._clock.now_s())
+            return _Finding(copy.origin, 'copy', copy.learned_unix_s)
         return self._by_record(request, record.result, unsure=not copy.sure)
 
     def _by_record(
