--- a/packages/backend_servers/src/endivesaddle/backend_servers/engine.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/engine.py
@@ -14,11 +14,13 @@
 from endivesaddle.backend_servers.usage import Meter, parse_piece
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.configuration import BackendServer
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.interfaces import EngineEvent, NeverSent, ServerLost
 from endivesaddle.wire import runs_pb2
 
 OK = 200
 CONTENT_TYPE = 'content-type'
+_body_decoder: JsonDecoder[dict[str, Any]] = JsonDecoder(dict[str, Any])
 
 
 class EngineRequest:
@@ -31,8 +33,8 @@
     def __init__(self, message: runs_pb2.StartRequest) -> None:
         """Decode the body of a request; raise ``NeverSent`` if it is not a JSON object."""
         try:
-            self.body: dict[str, Any] = msgspec.json.decode(message.body, type=dict[str, Any])
-        except msgspec.DecodeError as error:
+            self.body = _body_decoder.decode(message.body)
+        except UnreadableValue as error:
             raise NeverSent(f'the body is not a JSON object: {error}') from error
         self.stream = self.body.get('stream') is True
         self.choices = max(1, _integer(self.body.get('n')))
--- a/packages/backend_servers/src/endivesaddle/backend_servers/engine_control.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/engine_control.py
@@ -6,6 +6,7 @@
 from endivesaddle.backend_servers.link import Link
 from endivesaddle.backend_servers.settings import BackendSettings
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.interfaces import NeverSent, ServerLost
 from endivesaddle.wire import runs_pb2
 
@@ -41,6 +42,10 @@
     highest_fence: int = 0
 
 
+_report_decoder: JsonDecoder[LoadReport] = JsonDecoder(LoadReport)
+_answer_decoder: JsonDecoder[OrderAnswer] = JsonDecoder(OrderAnswer)
+
+
 class EngineControl:
     """The part of an engine's client that handles load reports and orders."""
 
@@ -62,8 +67,8 @@
         if status != OK:
             raise ServerLost(f'the load report has status {status}')
         try:
-            report = msgspec.json.decode(body, type=LoadReport)
-        except msgspec.DecodeError as error:
+            report = _report_decoder.decode(body)
+        except UnreadableValue as error:
             raise ServerLost(f'the load report is not valid: {error}') from error
         self._cache_event = report.cache_event
         return runs_pb2.Load(**msgspec.structs.asdict(report))
@@ -85,8 +90,8 @@
         request = self.link.build('POST', '/orders', headers, body)
         status, answered = await self._exchange(request, message.deadline_unix_s)
         try:
-            answer = msgspec.json.decode(answered, type=OrderAnswer)
-        except msgspec.DecodeError:
+            answer = _answer_decoder.decode(answered)
+        except UnreadableValue:
             answer = OrderAnswer(code='not_understood', reason=f'the engine answered {status}')
         if status == CONFLICT:
             answer.code = answer.code or 'old_fence'
--- a/packages/backend_servers/src/endivesaddle/backend_servers/usage.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/usage.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from endivesaddle.fleet.decoding import JsonDecoder
 from endivesaddle.wire import runs_pb2
 
 TOKEN_CHARS = 3
@@ -60,7 +61,7 @@
     usage: Usage | None = None
 
 
-_decoder = msgspec.json.Decoder(Piece)
+_decoder: JsonDecoder[Piece] = JsonDecoder(Piece)
 
 
 def parse_piece(text: bytes) -> Piece:
--- a/packages/callers/src/endivesaddle/callers/forward_requests.py
+++ b/packages/callers/src/endivesaddle/callers/forward_requests.py
@@ -1,5 +1,6 @@
 """Reading of a forwarded request: its route, account, limits and headers."""
 
+import math
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -12,6 +13,8 @@
 
 MAX_PARTS = 64
 """Prompt parts that are read; more would take time and add no information."""
+MAX_TOKENS = 1 << 40
+MAX_EVENT_NUMBER = (1 << 63) - 1
 _MS = 1000
 
 
@@ -43,8 +46,8 @@
     try:
         prompt_tokens, max_tokens = _tokens(names.get(header_names.tokens, ''))
         parts = _parts(names.get(header_names.parts, ''))
-        deadline_ms = float(names.get(header_names.deadline_ms) or head.route.timeout_ms)
-        last_event = int(names.get(header_names.last_event) or -1)
+        deadline_ms = _finite(names.get(header_names.deadline_ms) or head.route.timeout_ms)
+        last_event = _last_event(names.get(header_names.last_event, ''))
     except ValueError as error:
         return Invalid('invalid_header', f'a header could not be read: {error}')
     began_unix_s = exchange.began_unix_s
@@ -82,13 +85,33 @@
     if not text:
         return 0, 0
     prompt, _, output = text.partition(',')
-    counts = int(prompt), int(output)
-    if min(counts) < 0:
-        raise ValueError('token counts must not be negative')
-    return counts
+    return _token_count(prompt), _token_count(output)
+
+
+def _token_count(text: str) -> int:
+    """Parse a number of tokens; messages between instances hold neither negative nor huge ones."""
+    tokens = int(text)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f'a token count must be between 0 and {MAX_TOKENS}')
+    return tokens
+
+
+def _finite(value: str | float) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError('a deadline must be a finite number')
+    return number
+
+
+def _last_event(text: str) -> int:
+    """Parse the number of the last event that a caller has; return -1 for an empty header."""
+    number = int(text or -1)
+    if not -1 <= number <= MAX_EVENT_NUMBER:
+        raise ValueError(f'an event number must be between 0 and {MAX_EVENT_NUMBER}')
+    return number
 
 
 def _parts(text: str) -> tuple[tuple[str, int], ...]:
     """Parse "id:tokens" entries separated by commas."""
     entries = [entry.strip().partition(':') for entry in text.split(',') if entry.strip()]
-    return tuple((part, int(tokens)) for part, _, tokens in entries[:MAX_PARTS])
+    return tuple((part, _token_count(tokens)) for part, _, tokens in entries[:MAX_PARTS])
--- a/packages/callers/src/endivesaddle/callers/models.py
+++ b/packages/callers/src/endivesaddle/callers/models.py
@@ -9,6 +9,7 @@
 from endivesaddle.callers.refusals import Invalid
 from endivesaddle.callers.settings import CallersSettings
 from endivesaddle.fleet.configuration import Model
+from endivesaddle.fleet.decoding import UnreadableValue, decode_json
 
 Shape = TypeVar('Shape')
 
@@ -46,7 +47,7 @@
     raw: bytes, models: dict[str, Model], settings: CallersSettings
 ) -> ModelCall | Invalid:
     """Check the body of a chat completion."""
-    document = _document(raw, bodies.CHAT_FIELDS)
+    document = read_document(raw, bodies.CHAT_FIELDS)
     if isinstance(document, Invalid):
         return document
     body = _convert(document, bodies.ChatBody)
@@ -65,7 +66,7 @@
     raw: bytes, models: dict[str, Model], settings: CallersSettings
 ) -> ModelCall | Invalid:
     """Check the body of a plain completion."""
-    document = _document(raw, bodies.COMPLETION_FIELDS)
+    document = read_document(raw, bodies.COMPLETION_FIELDS)
     if isinstance(document, Invalid):
         return document
     body = _convert(document, bodies.CompletionBody)
@@ -80,10 +81,11 @@
     return _call(document, body, model, prompt, settings)
 
 
-def _document(raw: bytes, known: frozenset[str]) -> dict[str, Any] | Invalid:
+def read_document(raw: bytes, known: frozenset[str]) -> dict[str, Any] | Invalid:
+    """Return the JSON object of a body, or the error if it has other fields than ``known``."""
     try:
-        document = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document = decode_json(raw)
+    except UnreadableValue as error:
         return Invalid('invalid_json', f'the body is not JSON: {error}')
     if not isinstance(document, dict):
         return Invalid('invalid_json', 'the body is not a JSON object')
--- a/packages/callers/src/endivesaddle/callers/operating.py
+++ b/packages/callers/src/endivesaddle/callers/operating.py
@@ -11,6 +11,7 @@
 from endivesaddle.callers.context import Context, routes
 from endivesaddle.callers.exchange import Exchange
 from endivesaddle.callers.refusals import Invalid, error_body, error_document, refuse
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import UserError
 
 _MAX_ID_CHARACTERS = 128
@@ -84,6 +85,9 @@
     )
 
 
+_command_decoder: JsonDecoder[CommandBody] = JsonDecoder(CommandBody)
+
+
 @routes.add('GET /dump')
 async def show_state(context: Context, exchange: Exchange) -> None:
     """Send the state of this process to an operator."""
@@ -97,8 +101,8 @@
     if isinstance(body, Invalid):
         return body
     try:
-        return msgspec.json.decode(body, type=CommandBody)
-    except msgspec.DecodeError as error:
+        return _command_decoder.decode(body)
+    except UnreadableValue as error:
         return Invalid('invalid_json', str(error))
 
 
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -12,7 +12,7 @@
 from endivesaddle.backend_servers.forward_client import ForwardClient
 from endivesaddle.callers.forward_app import ForwardApp, ForwardParts, ReadyApp, Stopping
 from endivesaddle.callers.forward_metrics import ForwardMetrics
-from endivesaddle.daemon import events
+from endivesaddle.daemon import events, tasks
 from endivesaddle.daemon.forward_http import SETTLED_S, serve_http
 from endivesaddle.daemon.forward_parts import ForwardPorts, decisions
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
@@ -119,8 +119,10 @@
             serve_calls(handlers, self._settings.place.listen, self._settings.links),
             anyio.create_task_group() as group,
         ):
+            # A request that waits for a draw would wait in vain if draws were started anew.
+            group.start_soon(self.parts.pools.run)
             for part in self._running():
-                group.start_soon(part)
+                group.start_soon(tasks.keep, part.__qualname__, part)
             await self._serve()
             group.cancel_scope.cancel()
         events.STOPPED.log(instance=self._settings.place.instance)
@@ -183,7 +185,6 @@
             self.parts.directory.run,
             self.peer_routers.run,
             self.parts.allocator.run,
-            self.parts.pools.run,
             self.parts.dispatcher.waiting.run,
             self._admission.run,
             self._crashes.run,
--- a/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
+++ b/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
@@ -11,6 +11,7 @@
 from endivesaddle.daemon import events
 from endivesaddle.daemon.settings import LogSettings
 from endivesaddle.daemon.stopping import stop_signal
+from endivesaddle.daemon.tasks import keep
 from endivesaddle.fleet import settings as options
 from endivesaddle.fleet.clock import MonotonicClock
 from endivesaddle.fleet.ports import Handlers
@@ -86,9 +87,8 @@
             anyio.create_task_group() as group,
         ):
             events.STARTED.log(address=settings.listen, http_address='')
-            group.start_soon(self._entry.run, SIDECAR_RENEW_S)
-            group.start_soon(self._allocator.run)
-            group.start_soon(self._polls.run)
+            for part in (self._renew_entry, self._allocator.run, self._polls.run):
+                group.start_soon(keep, part.__qualname__, part)
             await stop_signal()
             await self._stop()
             group.cancel_scope.cancel()
@@ -109,6 +109,9 @@
         with anyio.move_on_after(RELEASE_S):
             await self._allocator.release()
 
+    async def _renew_entry(self) -> None:
+        await self._entry.run(SIDECAR_RENEW_S)
+
     def _handlers(self) -> Handlers:
         handlers = Handlers()
         answer_store(handlers, self._polls, self._clock)
--- a/packages/daemon/src/endivesaddle/daemon/tasks.py
+++ b/packages/daemon/src/endivesaddle/daemon/tasks.py
@@ -11,7 +11,7 @@
 
 
 async def keep(name: str, task: Callable[[], Awaitable[None]]) -> None:
-    """Run a background task for good.
+    """Run a background task until it returns; start it again if it fails.
 
     A fault in one part (a store answer nobody thought of) would otherwise end
     the whole process and cut its streams; started again, the part reads its
@@ -19,7 +19,7 @@
     """
     while True:
         try:
-            await task()
+            return await task()
         except Exception as error:  # noqa: BLE001
             trace = traceback.format_exc(limit=-4)
             events.TASK_FAILED.log(task=name, error=repr(error), trace=trace)
--- a/packages/fleet/src/endivesaddle/fleet/budgets/min_epochs.py
+++ b/packages/fleet/src/endivesaddle/fleet/budgets/min_epochs.py
@@ -11,12 +11,13 @@
 
 from endivesaddle.fleet.budgets.errors import BadRecord, RecordWriteUnconfirmed
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import StoreWriteUnconfirmed
 from endivesaddle.fleet.ports import Store, Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
 
 PREFIX = 'budget-floors/'
-_decoder = msgspec.json.Decoder(dict[str, int])
+_decoder: JsonDecoder[dict[str, int]] = JsonDecoder(dict[str, int])
 
 
 async def read_min_epochs(store: Store, deadline_unix_s: float) -> dict[tuple[int, str], int]:
@@ -63,7 +64,7 @@
 def _decode(stored: Stored) -> dict[str, int]:
     try:
         return _decoder.decode(stored.value or b'{}')
-    except msgspec.DecodeError as error:
+    except UnreadableValue as error:
         raise BadRecord(
             f'the minimum epochs at {stored.key} can not be decoded: {error}'
         ) from error
--- a/packages/fleet/src/endivesaddle/fleet/budgets/record_format.py
+++ b/packages/fleet/src/endivesaddle/fleet/budgets/record_format.py
@@ -7,6 +7,7 @@
 
 from endivesaddle.fleet.budgets import records
 from endivesaddle.fleet.budgets.errors import BadRecord
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue, decompress
 
 MAX_BYTES = 900_000
 """Below the store's limit of 1 MB for a value, with room for a takeover."""
@@ -35,23 +36,23 @@
     format: int
 
 
-_decoder = msgspec.json.Decoder(_StoredRecord)
-_version_decoder = msgspec.json.Decoder(_Version)
+_decoder: JsonDecoder[_StoredRecord] = JsonDecoder(_StoredRecord)
+_version_decoder: JsonDecoder[_Version] = JsonDecoder(_Version)
 _encoder = msgspec.json.Encoder()
 
 
 def decode(raw: bytes) -> records.ShardRecord:
     """Decode and check a record; raises ``BadRecord`` with the cause."""
     try:
-        text = raw if raw.startswith(_JSON_START) else zlib.decompress(raw)
+        text = raw if raw.startswith(_JSON_START) else decompress(raw)
         version = _version_decoder.decode(text)['format']
-    except (msgspec.DecodeError, zlib.error) as error:
+    except UnreadableValue as error:
         raise BadRecord(f'not a record: {error}') from error
     if version != records.FORMAT:
         raise BadRecord(f'format {version} is not {records.FORMAT}')
     try:
         stored = _decoder.decode(text)
-    except msgspec.DecodeError as error:
+    except UnreadableValue as error:
         raise BadRecord(f'invalid: {error}') from error
     budgets = {
         name: records.Budget(**{**records.new_budget(), **value})
--- a/packages/fleet/src/endivesaddle/fleet/distribution/packing.py
+++ b/packages/fleet/src/endivesaddle/fleet/distribution/packing.py
@@ -5,10 +5,15 @@
 """
 
 import zlib
+from typing import TypeVar
 
+from google.protobuf.message import Message
+
+from endivesaddle.fleet.decoding import UnreadableValue, decode_message, decompress
 from endivesaddle.wire import members_pb2
 
 _COMPRESSION_LEVEL = 1
+MessageType = TypeVar('MessageType', bound=Message)
 _MAX_BYTES = 64 * 1024 * 1024
 
 
@@ -32,22 +37,18 @@
     """Return the original push of a compressed one; raises ``PackingError``."""
     if not message.packed:
         return message
-    return members_pb2.PushRequest.FromString(_decompress(message.packed))
+    return _decode(message.packed, members_pb2.PushRequest)
 
 
 def unpacked_reply(message: members_pb2.PullReply) -> members_pb2.PullReply:
     """Return the original reply of a compressed one; raises ``PackingError``."""
     if not message.packed:
         return message
-    return members_pb2.PullReply.FromString(_decompress(message.packed))
+    return _decode(message.packed, members_pb2.PullReply)
 
 
-def _decompress(packed: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
+def _decode(packed: bytes, message_type: type[MessageType]) -> MessageType:
     try:
-        raw = decompressor.decompress(packed, _MAX_BYTES)
-    except zlib.error as error:
+        return decode_message(decompress(packed, _MAX_BYTES), message_type)
+    except UnreadableValue as error:
         raise PackingError(f'packed parts are corrupt: {error}') from error
-    if decompressor.unconsumed_tail:
-        raise PackingError(f'packed parts are larger than {_MAX_BYTES} bytes')
-    return raw
--- a/packages/fleet/src/endivesaddle/fleet/requests/batches.py
+++ b/packages/fleet/src/endivesaddle/fleet/requests/batches.py
@@ -4,8 +4,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from google.protobuf.message import DecodeError
-
+from endivesaddle.fleet.decoding import UnreadableValue, decode_message, decompress
 from endivesaddle.fleet.requests.errors import BrokenBatch
 from endivesaddle.wire import holders_pb2
 
@@ -32,8 +31,8 @@
     if stored[:1] != FORMAT:
         raise BrokenBatch(f'batch format {stored[:1]!r} is unknown')
     try:
-        return holders_pb2.Batch.FromString(zlib.decompress(stored[1:]))
-    except (zlib.error, DecodeError) as error:
+        return decode_message(decompress(stored[1:]), holders_pb2.Batch)
+    except UnreadableValue as error:
         raise BrokenBatch(str(error)) from error
 
 
--- a/packages/fleet/src/endivesaddle/fleet/revision_parts.py
+++ b/packages/fleet/src/endivesaddle/fleet/revision_parts.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from endivesaddle.fleet import configuration as declared
+from endivesaddle.fleet.decoding import UnreadableValue, decode_json
 from endivesaddle.fleet.errors import FleetError
 
 SERVER_PARTS = 16
@@ -122,9 +123,9 @@
         )
     row_type = _ROW_TYPES.get(table_of(name))
     try:
-        decoded = msgspec.json.decode(body)
+        decoded = decode_json(body)
         return decoded if row_type is None else _decode_rows(row_type, decoded)
-    except (msgspec.MsgspecError, TypeError) as error:
+    except (UnreadableValue, msgspec.MsgspecError, TypeError) as error:
         raise RevisionError(f'part {name} of the configuration can not be decoded') from error
 
 
--- a/packages/fleet/src/endivesaddle/fleet/revisions.py
+++ b/packages/fleet/src/endivesaddle/fleet/revisions.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from endivesaddle.fleet.configuration import Configuration
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.revision_parts import (
     Part,
     RevisionError,
@@ -66,7 +67,7 @@
     changes: list[Change]
 
 
-_head_decoder = msgspec.json.Decoder(Head)
+_head_decoder: JsonDecoder[Head] = JsonDecoder(Head)
 
 
 def empty_head() -> Head:
@@ -83,7 +84,7 @@
     """Return a head from its stored form; raises ``RevisionError`` if it is invalid."""
     try:
         return _head_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except UnreadableValue as error:
         raise RevisionError(f'the head of the configuration can not be decoded: {error}') from error
 
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/claim_collector.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/claim_collector.py
@@ -11,14 +11,14 @@
 from collections.abc import Sequence
 
 import anyio
-import msgspec
 
 from endivesaddle.fleet.errors import FleetError
 from endivesaddle.fleet.routes import sidecar_events as events
 from endivesaddle.fleet.routes.grant_group import PREFIX, AllocatorContext, GrantGroup
-from endivesaddle.fleet.routes.grants import decode
+from endivesaddle.fleet.routes.grants import GrantsUnreadable, decode
 from endivesaddle.fleet.routes.instance_directory import PREFIX as INSTANCES
-from endivesaddle.fleet.routes.instance_directory import ROUTER, Instance
+from endivesaddle.fleet.routes.instance_directory import ROUTER, decode_instances
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.wire import rpcs
 from endivesaddle.wire.routers_pb2 import HeldRequest
 
@@ -42,6 +42,7 @@
         self._context = context
         self._groups = groups
         self._unclaimed: dict[str, set[str]] = defaultdict(set)
+        self._unreadable = UnreadableValues()
         self._calls = anyio.CapacityLimiter(MAX_CALLS)
 
     async def run(self) -> None:
@@ -57,8 +58,7 @@
                 if not self._unclaimed:
                     return
                 await self._ask_all()
-            except (FleetError, ValueError) as error:
-                # An unreadable value in the store must not end the allocator's tasks.
+            except FleetError as error:
                 events.HELD_UNASKED.log(reason=str(error))
             await anyio.sleep(pause_s)
             pause_s *= 2
@@ -68,7 +68,11 @@
         context = self._context
         found = await context.store.list_stale(PREFIX, context.clock.now_s() + TIMEOUT_S)
         for stored in found.entries:
-            records = decode(stored.value or b'')
+            try:
+                records = decode(stored.value or b'')
+            except GrantsUnreadable as error:
+                self._unreadable.note(stored, error)
+                continue
             for name, ended in records.ended_at(context.address, context.incarnation).items():
                 for router in ended.routers:
                     self._unclaimed[router].add(name)
@@ -85,12 +89,7 @@
         found = await self._context.store.list_stale(
             prefix, self._context.clock.now_s() + TIMEOUT_S
         )
-        try:
-            routers = [
-                msgspec.json.decode(stored.value or b'', type=Instance) for stored in found.entries
-            ]
-        except msgspec.DecodeError as error:
-            raise ValueError(f'malformed router entries: {error}') from error
+        routers = decode_instances(found.entries, self._unreadable)
         return {router.incarnation: router.address for router in routers}
 
     async def _ask(self, router: str, address: str) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/declarations.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/declarations.py
@@ -16,6 +16,7 @@
 from endivesaddle.fleet.routes.parts import PartsReader, in_parts
 from endivesaddle.fleet.routes.routing_state import RoutingState, StoreStatus
 from endivesaddle.fleet.routes.store_watch import Decoder
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.wire import routers_pb2, rpcs
 
 FIRST_PART_S = 0.4
@@ -36,6 +37,7 @@
         self._store_status = store_status
         self._decoder = decoder
         self._fetching = anyio.Lock()
+        self._unreadable = UnreadableValues()
 
     def register(self, handlers: Handlers) -> None:
         """Answer routers that ask for the declarations."""
@@ -74,11 +76,11 @@
     def _declare(self, reply: routers_pb2.DeclarationsReply, address: str) -> None:
         if not reply.document:
             return
-        stored = Stored(self._decoder.declared_key, reply.document, 0)
+        stored = Stored(self._decoder.declared_key, reply.document, reply.version)
         try:
             declared = self._decoder.declared(stored)
         except ValueError as error:
-            events.DOCUMENT_BAD.log(key=stored.key, version=reply.version, error=str(error))
+            self._unreadable.note(stored, error)
             return
         if declared is not None:
             self._routing_state.declare(declared, reply.document, address)
--- a/packages/fleet/src/endivesaddle/fleet/routes/events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/events.py
@@ -12,8 +12,11 @@
     4602, 'INFO', 'server_known', 'a backend server was added, or announced that it is leaving'
 )
 SERVER_GONE = event(4603, 'INFO', 'server_withdrawn', 'a backend server takes no new requests')
-DOCUMENT_BAD = event(
-    4604, 'ERROR', 'declarations_unreadable', 'a stored declaration could not be read; ignored'
+VALUE_UNREADABLE = event(
+    4604,
+    'ERROR',
+    'declarations_unreadable',
+    'a value in the store could not be read and is ignored; logged once for each version',
 )
 DECLARATIONS_LOST = event(
     4619, 'INFO', 'declarations_lost', "another router's newer declarations did not arrive"
--- a/packages/fleet/src/endivesaddle/fleet/routes/grant_group.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grant_group.py
@@ -20,6 +20,7 @@
     MIN_CHANGE_TOKENS,
     NO_RECORDS,
     Grant,
+    GrantsUnreadable,
     Incarnation,
     Records,
     decode,
@@ -140,7 +141,8 @@
         self._started_count += 1
         try:
             await self._write_if_needed()
-        except StoreUnreachable as error:
+        except (StoreUnreachable, GrantsUnreadable) as error:
+            # An unreadable record is never written over: it may hold grants of others.
             self._failed(str(error))
             self._unavailable_until_unix_s = self._context.clock.now_s() + UNAVAILABLE_S
         except StoreWriteUnconfirmed as error:
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -13,6 +13,9 @@
 
 import msgspec
 
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
+from endivesaddle.fleet.errors import FleetError
+
 HEADROOM_S = 10.0
 """Maximum headroom, in seconds of the account's current use, while much of the total is left.
 
@@ -125,14 +128,19 @@
 
 
 NO_RECORDS = Records({}, {})
+_decoder: JsonDecoder[Records] = JsonDecoder(Records)
+
+
+class GrantsUnreadable(FleetError):
+    """The stored grants of a group could not be decoded."""
 
 
 def decode(value: bytes) -> Records:
-    """Decode the records of a group; raises ``ValueError`` if they are malformed."""
+    """Decode the records of a group; raises ``GrantsUnreadable`` if they are malformed."""
     try:
-        return msgspec.json.decode(value, type=Records)
-    except msgspec.DecodeError as error:
-        raise ValueError(f'malformed grant records: {error}') from error
+        return _decoder.decode(value)
+    except UnreadableValue as error:
+        raise GrantsUnreadable(f'malformed grant records: {error}') from error
 
 
 def encode(records: Records) -> bytes:
--- a/packages/fleet/src/endivesaddle/fleet/routes/instance_directory.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/instance_directory.py
@@ -1,6 +1,6 @@
 """The other instances: each registers an entry in the store under a lease."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -8,11 +8,13 @@
 import xxhash
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.routes import store_events as events
 from endivesaddle.fleet.routes.remote_store import ForwardStore
 from endivesaddle.fleet.routes.store_versions import StoreVersions
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.fleet.routing.slack_share import FleetView
 
 PREFIX = 'endivesaddle/live/'
@@ -52,6 +54,9 @@
     data_centre: str
 
 
+_decoder: JsonDecoder[Instance] = JsonDecoder(Instance)
+
+
 class InstanceEntry:
     """This instance's own entry in the store."""
 
@@ -110,17 +115,23 @@
             await anyio.sleep(renew_s)
 
 
-async def list_instances(store: ForwardStore, deadline_unix_s: float) -> list[Instance]:
+async def list_instances(
+    store: ForwardStore, unreadable: UnreadableValues, deadline_unix_s: float
+) -> list[Instance]:
     """Return the registered instances, the latest last; raises ``StoreUnreachable``."""
-    return _decoded((await store.list_stale(PREFIX, deadline_unix_s)).entries)
+    found = await store.list_stale(PREFIX, deadline_unix_s)
+    return decode_instances(found.entries, unreadable)
 
 
-def _decoded(entries: Sequence[Stored]) -> list[Instance]:
-    return [
-        msgspec.json.decode(stored.value, type=Instance)
-        for stored in sorted(entries, key=lambda stored: stored.version)
-        if stored.value is not None
-    ]
+def decode_instances(entries: Iterable[Stored], unreadable: UnreadableValues) -> list[Instance]:
+    """Return the instances of stored entries, the latest last; ``unreadable`` logs the others."""
+    instances: list[Instance] = []
+    for stored in sorted(entries, key=lambda entry: entry.version):
+        try:
+            instances.append(_decoder.decode(stored.value or b''))
+        except UnreadableValue as error:
+            unreadable.note(stored, error)
+    return instances
 
 
 class InstanceDirectory:
@@ -147,6 +158,7 @@
         self._store = store
         self._clock = clock
         self._own = own
+        self._unreadable = UnreadableValues()
 
     @property
     def relays(self) -> tuple[str, ...]:
@@ -190,7 +202,7 @@
 
     async def _list(self) -> None:
         found = await self._store.list_stale(PREFIX, self._clock.now_s() + TIMEOUT_S)
-        entries = _decoded(found.entries)
+        entries = decode_instances(found.entries, self._unreadable)
         own = [one for one in entries if one.address == self._own.address]
         # The previous incarnation at this address was known to the others, and knew them.
         self.settled = self.settled or any(one.incarnation != self._own.incarnation for one in own)
--- a/packages/fleet/src/endivesaddle/fleet/routes/origin_keeper.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/origin_keeper.py
@@ -13,6 +13,7 @@
 from endivesaddle.fleet.routes.instance_directory import SIDECAR, list_instances
 from endivesaddle.fleet.routes.origin_holders import holders, origin_message
 from endivesaddle.fleet.routes.remote_store import ForwardStore
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.fleet.routing.stream_origins import StreamOrigin, StreamOrigins
 from endivesaddle.wire import routers_pb2, rpcs
 
@@ -70,7 +71,9 @@
         if not self._origins:
             return
         try:
-            instances = await list_instances(self._parts.store, now_unix_s + CALL_S)
+            instances = await list_instances(
+                self._parts.store, UnreadableValues(), now_unix_s + CALL_S
+            )
         except StoreUnreachable as error:
             events.ORIGINS_UNCOPIED.log(address='', origins=len(self._origins), reason=str(error))
             return
--- a/packages/fleet/src/endivesaddle/fleet/routes/parts.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/parts.py
@@ -11,9 +11,10 @@
 from typing import Any, TypeVar
 
 import anyio
-from google.protobuf.message import DecodeError, Message
+from google.protobuf.message import Message
 
 from endivesaddle.fleet.clock import Clock, left_s
+from endivesaddle.fleet.decoding import UnreadableValue, decode_message, decompress
 from endivesaddle.fleet.errors import PeerNoReply
 from endivesaddle.fleet.ports import Peers
 from endivesaddle.wire.routers_pb2 import Part
@@ -64,8 +65,8 @@
         with anyio.fail_after(first_s + WHOLE_S):
             compressed = b''.join([part.compressed async for part in parts])
         try:
-            return reply_type.FromString(zlib.decompress(compressed))
-        except (zlib.error, DecodeError) as error:
+            return decode_message(decompress(compressed), reply_type)
+        except UnreadableValue as error:
             raise PeerNoReply(
                 f'{address} sent an unreadable reply to {rpc.path}: {error}'
             ) from error
--- a/packages/fleet/src/endivesaddle/fleet/routes/peer_routers.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/peer_routers.py
@@ -121,6 +121,7 @@
 
     async def run(self) -> None:
         """Exchange reports with each known router until cancelled."""
+        self._exchanges.clear()
         async with anyio.create_task_group() as group:
             group.start_soon(self._poll_aggregator)
             group.start_soon(self._notify_aggregator)
--- a/packages/fleet/src/endivesaddle/fleet/routes/progress.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/progress.py
@@ -4,6 +4,8 @@
 
 _NUMBER = b'id:'
 _LATER_NUMBER = b'\nid:'
+MAX_DIGITS = 18
+"""A number with more digits is read as none: messages between instances hold 63 bits."""
 
 
 class Progress:
@@ -58,4 +60,4 @@
     if not start and not event.startswith(_NUMBER):
         return -1
     digits = event[start + len(_NUMBER) : event.find(b'\n', start)].strip()
-    return int(digits) if digits.isdigit() else -1
+    return int(digits) if digits.isdigit() and len(digits) <= MAX_DIGITS else -1
--- a/packages/fleet/src/endivesaddle/fleet/routes/shared_polls.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/shared_polls.py
@@ -63,9 +63,10 @@
                 self._apply(changes)
         except StoreUnreachable:
             # Waiting routers get an error and ask the store directly; the next poll starts over.
+            return
+        finally:
             self.ended = True
-        self.ended = True
-        self._wake()
+            self._wake()
 
     def _apply(self, changes: Changes) -> None:
         now_unix_s = self._clock.now_s()
--- a/packages/fleet/src/endivesaddle/fleet/routes/store_watch.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/store_watch.py
@@ -13,12 +13,12 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable
 from endivesaddle.fleet.ports import Stored
-from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.declared import Declarations, RouteServer
 from endivesaddle.fleet.routes.retry_pause import RetryPause
 from endivesaddle.fleet.routes.routing_state import RoutingState, StoreStatus
 from endivesaddle.fleet.routes.store_settings import StoreSettings
 from endivesaddle.fleet.routes.unread_names import UnreadNames
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.fleet.sentinels import Absent
 
 POLL_S = 1.3
@@ -108,6 +108,7 @@
         self._clock = clock
         self._settings = settings
         self.store_status = store_status
+        self._unreadable = UnreadableValues()
 
     async def run(self) -> None:
         """Watch both prefixes until cancelled."""
@@ -195,7 +196,8 @@
         try:
             declared = self._decoder.declared(stored)
         except ValueError as error:
-            events.DOCUMENT_BAD.log(key=stored.key, version=stored.version, error=str(error))
+            # The declarations in force stay in force.
+            self._unreadable.note(stored, error)
             return
         if declared is not None:
             self._routing_state.declare(declared, document, 'store')
@@ -232,7 +234,7 @@
         except ValueError as error:
             # The entry is of another writer, or a server's entry that was overwritten: it names
             # no usable server.
-            events.DOCUMENT_BAD.log(key=stored.key, version=stored.version, error=str(error))
+            self._unreadable.note(stored, error)
             self._routing_state.remove_server(self._decoder.lifetime(stored.key), 'unreadable')
 
     def _handle_missing(self, lifetime: str) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/stored_crashes.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/stored_crashes.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.routes.remote_store import ForwardStore
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.fleet.routing import crash_events as events
 from endivesaddle.fleet.routing.crash_records import CrashRecord, CrashRecords
 from endivesaddle.fleet.sentinels import Absent, Conflict
@@ -24,6 +26,7 @@
 CALL_S = 0.6
 RETRY_S = 0.5
 SOURCE = 'store'
+_decoder: JsonDecoder[CrashRecord] = JsonDecoder(CrashRecord)
 
 
 class StoredCrashes:
@@ -37,6 +40,7 @@
         self._unwritten: dict[str, None] = {}
         self._stored: set[str] = set()
         self._pending = anyio.Event()
+        self._unreadable = UnreadableValues()
         records.listeners.append(self._enqueue)
 
     async def run(self) -> None:
@@ -99,8 +103,8 @@
 
     def _merge(self, stored: Stored) -> None:
         try:
-            record = msgspec.json.decode(stored.value or b'', type=CrashRecord)
-        except msgspec.DecodeError as error:
-            events.UNWRITTEN.log(call='decode', digest=stored.key, reason=str(error))
+            record = _decoder.decode(stored.value or b'')
+        except UnreadableValue as error:
+            self._unreadable.note(stored, error)
             return
         self._records.merge(record, self._clock.now_s(), SOURCE)
--- a/packages/fleet/src/endivesaddle/fleet/routes/version_register.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/version_register.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed
 from endivesaddle.fleet.routes import store_events as events
 from endivesaddle.fleet.routes.remote_store import ForwardStore
@@ -27,7 +28,7 @@
 KEPT_S = 600.0
 """Longer than any stream, and than a router may use a list of servers from before an outage."""
 
-_decoder = msgspec.json.Decoder(dict[str, list[str]])
+_decoder: JsonDecoder[dict[str, list[str]]] = JsonDecoder(dict[str, list[str]])
 
 
 class _Record(NamedTuple):
@@ -113,7 +114,7 @@
             return _Record(0, NONE)
         try:
             recorded = _decoder.decode(found.value or b'{}')
-        except msgspec.DecodeError as error:
+        except UnreadableValue as error:
             raise StoreUnreachable(f'{KEY} is unreadable: {error}') from error
         versions = {service: frozenset(names) for service, names in recorded.items()}
         return _Record(found.version, versions)
--- a/packages/fleet/src/endivesaddle/fleet/runs/order_state.py
+++ b/packages/fleet/src/endivesaddle/fleet/runs/order_state.py
@@ -1,13 +1,14 @@
 """What an engine was ordered to be, kept in the store so that a restart knows it."""
 
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.errors import StoreWriteUnconfirmed
-from endivesaddle.fleet.ports import Store
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
+from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed
+from endivesaddle.fleet.ports import Store, Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
 from endivesaddle.wire import runs_pb2
 
@@ -52,6 +53,11 @@
     orders: dict[str, int] = {}
 
 
+_counter_decoder: JsonDecoder[Counter] = JsonDecoder(Counter)
+_wanted_decoder: JsonDecoder[Wanted] = JsonDecoder(Wanted)
+State = TypeVar('State')
+
+
 class Kept(NamedTuple):
     """The wanted state as the store has it."""
 
@@ -75,7 +81,7 @@
             stored = await self._store.read(self._fence_key, self._deadline_unix_s())
             counter, version = Counter(), 0
             if not isinstance(stored, Absent):
-                counter = msgspec.json.decode(stored.value or b'{}', type=Counter)
+                counter = _decode(_counter_decoder, stored)
                 version = stored.version
             if counter.last >= fence:
                 return counter.last
@@ -87,7 +93,7 @@
         stored = await self._store.read(self._wanted_key, self._deadline_unix_s())
         if isinstance(stored, Absent):
             return Kept(Wanted(), 0)
-        return Kept(msgspec.json.decode(stored.value or b'{}', type=Wanted), stored.version)
+        return Kept(_decode(_wanted_decoder, stored), stored.version)
 
     async def write_wanted(self, wanted: Wanted, version: int) -> bool:
         """Replace the wanted state; False when another sidecar changed it."""
@@ -106,3 +112,11 @@
 
     def _deadline_unix_s(self) -> float:
         return self._clock.now_s() + STORE_S
+
+
+def _decode(decoder: JsonDecoder[State], stored: Stored) -> State:
+    """Return a stored state; one that can't be decoded is left as it is, and no order is taken."""
+    try:
+        return decoder.decode(stored.value or b'{}')
+    except UnreadableValue as error:
+        raise StoreUnreachable(f'{stored.key} is unreadable: {error}') from error
--- a/packages/instances/src/endivesaddle/instances/peers.py
+++ b/packages/instances/src/endivesaddle/instances/peers.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import anyio
+from google.protobuf.message import DecodeError
 from grpclib.client import Stream
 from grpclib.const import Cardinality, Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -138,6 +139,9 @@
         except GRPCError as error:
             self.failures[rpc.path] += 1
             raise attempt.refused(error) from error
+        except DecodeError as error:
+            self.failures[rpc.path] += 1
+            raise PeerNoReply(f'{address} sent an unreadable reply to {rpc.path}') from error
         except BROKEN as error:
             self.failures[rpc.path] += 1
             raise attempt.broken(error) from error
--- a/packages/operators/src/endivesaddle/operators/audit.py
+++ b/packages/operators/src/endivesaddle/operators/audit.py
@@ -6,14 +6,17 @@
 """
 
 import datetime
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
+from endivesaddle.fleet.errors import UserError
 from endivesaddle.fleet.ports import Store, Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
+from endivesaddle.operators.events import RECORD_UNREADABLE
 from endivesaddle.operators.settings import OperatorSettings
 from endivesaddle.operators.values import iso
 from endivesaddle.operators.writes import Write, Writer
@@ -52,7 +55,7 @@
     fresh: bool
 
 
-_decoder = msgspec.json.Decoder(Entry)
+_decoder: JsonDecoder[Entry] = JsonDecoder(Entry)
 
 
 class Audit:
@@ -112,7 +115,7 @@
         for day in range(int(first_unix_s // _DAY_S), int(until_unix_s // _DAY_S) + 1):
             prefix = f'{DAYS_PREFIX}{_day(day * _DAY_S)}/'
             listed = await self._store.list(prefix, deadline_unix_s)
-            found.extend(_decoder.decode(stored.value) for stored in listed if stored.value)
+            found.extend(_readable(listed))
         found.sort(key=lambda entry: entry['when_unix_s'])
         return [entry for entry in found if entry['when_unix_s'] >= since_unix_s]
 
@@ -136,7 +139,7 @@
         found = await self._store.read(key, deadline_unix_s)
         if isinstance(found, Absent) or found.value is None:
             return Opened(key, 0, entry, fresh=True)
-        return Opened(key, found.version, _decoder.decode(found.value), fresh=False)
+        return Opened(key, found.version, _decode(found), fresh=False)
 
     async def _find(self, change_id: str, deadline_unix_s: float) -> Opened | Absent:
         pinned = await self._pin(change_id, deadline_unix_s)
@@ -145,13 +148,13 @@
         found = await self._store.read(pinned[1], deadline_unix_s)
         if isinstance(found, Absent) or found.value is None:
             return Absent(f'no record of change {change_id}')
-        return Opened(found.key, found.version, _decoder.decode(found.value), fresh=False)
+        return Opened(found.key, found.version, _decode(found), fresh=False)
 
     async def _pin(self, change_id: str, deadline_unix_s: float) -> Absent | tuple[str, ...]:
         found = await self._store.read(IDS_PREFIX + change_id, deadline_unix_s)
         if isinstance(found, Absent) or found.value is None:
             return Absent(f'no change {change_id}')
-        return tuple(found.value.decode().split(' ', 3))
+        return tuple(found.value.decode(errors='replace').split(' ', 3))
 
     async def _kept(self, deadline_unix_s: float) -> int:
         """Return a lease for as long as records are kept; one serves for an hour."""
@@ -172,5 +175,21 @@
     return [*first, f'... {len(entries)} in all']
 
 
+def _decode(stored: Stored) -> Entry:
+    try:
+        return _decoder.decode(stored.value or b'')
+    except UnreadableValue as error:
+        raise UserError(f'the record {stored.key} can not be decoded: {error}') from error
+
+
+def _readable(listed: Sequence[Stored]) -> Iterator[Entry]:
+    """Yield the records of a list; one that can't be decoded is logged and left out."""
+    for stored in listed:
+        try:
+            yield _decoder.decode(stored.value or b'')
+        except UnreadableValue as error:
+            RECORD_UNREADABLE.log(key=stored.key, version=stored.version, error=str(error))
+
+
 def _day(at_unix_s: float) -> str:
     return datetime.datetime.fromtimestamp(at_unix_s, datetime.UTC).strftime('%Y-%m-%d')
--- a/packages/operators/src/endivesaddle/operators/client.py
+++ b/packages/operators/src/endivesaddle/operators/client.py
@@ -7,12 +7,14 @@
 import httpx
 import msgspec
 
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue, decode_json
 from endivesaddle.fleet.errors import EXIT_FAILED, EXIT_UNKNOWN, EXIT_USAGE, UserError
 from endivesaddle.operators.reply import Reply, ReplyBody
 
 COMMAND_PATH = '/operators/v1/command'
 _TIMEOUT_S = 60.0
 _ID_BYTES = 9
+_reply_decoder: JsonDecoder[ReplyBody] = JsonDecoder(ReplyBody)
 
 
 class Router(NamedTuple):
@@ -54,8 +56,12 @@
         return Reply([f'{address} was not reached: {error}'], status=EXIT_FAILED)
     if answer.status_code != HTTPStatus.OK:
         return _reply(answer)
+    try:
+        state = decode_json(answer.content)
+    except UnreadableValue as error:
+        return Reply([f'{address} gave a state that is not JSON: {error}'], status=EXIT_FAILED)
     text = msgspec.json.format(answer.content).decode()
-    return Reply(text.split('\n'), details={'state': msgspec.json.decode(answer.content)})
+    return Reply(text.split('\n'), details={'state': state})
 
 
 def _client(router: Router) -> httpx.Client:
@@ -70,8 +76,8 @@
 
 def _reply(answer: httpx.Response) -> Reply:
     try:
-        return Reply(**msgspec.json.decode(answer.content, type=ReplyBody))
-    except msgspec.MsgspecError:
+        return Reply(**_reply_decoder.decode(answer.content))
+    except UnreadableValue:
         status = EXIT_USAGE if answer.status_code == HTTPStatus.BAD_REQUEST else EXIT_FAILED
         return Reply([f'refused ({answer.status_code}): {_error_text(answer)}'], status=status)
 
--- a/packages/operators/src/endivesaddle/operators/commands/dump.py
+++ b/packages/operators/src/endivesaddle/operators/commands/dump.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from endivesaddle.fleet.decoding import UnreadableValue, decode_json
 from endivesaddle.fleet.errors import EXIT_FAILED, PeerNoReply, PeerRefused, PeerUnreachable
 from endivesaddle.operators import arguments
 from endivesaddle.operators.command import command
@@ -34,5 +35,9 @@
         reply = await peers.call(addresses[name], rpcs.DUMP, DumpRequest(), deadline_unix_s)
     except (PeerRefused, PeerNoReply, PeerUnreachable) as error:
         return Reply([f'{name} gave no state: {error}'], status=EXIT_FAILED)
+    try:
+        state = decode_json(reply.json)
+    except UnreadableValue as error:
+        return Reply([f'{name} gave a state that is not JSON: {error}'], status=EXIT_FAILED)
     text = msgspec.json.format(reply.json, indent=_INDENT).decode()
-    return Reply(text.split('\n'), details={'state': msgspec.json.decode(reply.json)})
+    return Reply(text.split('\n'), details={'state': state})
--- a/packages/operators/src/endivesaddle/operators/declarations/reading.py
+++ b/packages/operators/src/endivesaddle/operators/declarations/reading.py
@@ -1,10 +1,10 @@
 """Read a file of declarations into a configuration, or tell all that is wrong with it."""
 
-import tomllib
 from collections.abc import Mapping
 from typing import Any
 
 from endivesaddle.fleet.configuration import Configuration
+from endivesaddle.fleet.decoding import UnreadableValue, decode_toml
 from endivesaddle.fleet.errors import UserError
 from endivesaddle.operators.declarations import keys, references, tables
 from endivesaddle.operators.declarations.problems import Problems
@@ -24,9 +24,8 @@
 def parse_toml(document: str, file: str) -> dict[str, Any]:
     """Return the tables of a file, not checked yet."""
     try:
-        return tomllib.loads(document)
-    except (ValueError, RecursionError) as error:
-        # Besides its own error the reader lets those of huge numbers and deep nesting out.
+        return decode_toml(document)
+    except UnreadableValue as error:
         raise UserError(f'{file}: not TOML: {error}') from None
 
 
--- a/packages/operators/src/endivesaddle/operators/declarations/travelling.py
+++ b/packages/operators/src/endivesaddle/operators/declarations/travelling.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from endivesaddle.fleet.configuration import Configuration
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue, decompress
 from endivesaddle.fleet.errors import UserError
 from endivesaddle.operators.declarations.reading import DeclarationsReader, parse_toml
 
@@ -23,6 +24,7 @@
 MOST_TOML_CHARACTERS = 32 * 1024
 MOST_BYTES = 16 * 1024 * 1024
 ENTRIES_IN_LINE = 100
+_chunk_decoder: JsonDecoder[dict[str, Any]] = JsonDecoder(dict[str, Any])
 
 
 def packed(document: str, file: str) -> str:
@@ -60,19 +62,15 @@
 
 def _unpacked(travelled: str) -> bytes:
     """Return the lines; the bound holds while unpacking, as kilobytes can hold gigabytes."""
-    unpacker = zlib.decompressobj()
     try:
         raw = base64.b64decode(travelled.removeprefix(_PREFIX), validate=True)
-        lines = unpacker.decompress(raw, MOST_BYTES)
-    except (binascii.Error, zlib.error) as error:
+        return decompress(raw, MOST_BYTES)
+    except (binascii.Error, UnreadableValue) as error:
         raise UserError(f'the declarations came damaged: {error}') from None
-    if not unpacker.eof:
-        raise UserError(f'the declarations are damaged, or longer than {MOST_BYTES} bytes')
-    return lines
 
 
 def _tree(line: bytes) -> dict[str, Any]:
     try:
-        return msgspec.json.decode(line, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
+        return _chunk_decoder.decode(line)
+    except UnreadableValue as error:
         raise UserError(f'the declarations came damaged: {error}') from None
--- a/packages/operators/src/endivesaddle/operators/events.py
+++ b/packages/operators/src/endivesaddle/operators/events.py
@@ -14,6 +14,9 @@
 CHANGE_UNKNOWN = event(
     7004, 'ERROR', 'change_unknown', 'The fate of a change could not be read back in time.'
 )
+RECORD_UNREADABLE = event(
+    7010, 'ERROR', 'audit_record_unreadable', 'An audit record can not be decoded; it is left out.'
+)
 STORE_REVERTED = event(
     7005,
     'ERROR',
--- a/packages/operators/src/endivesaddle/operators/fences.py
+++ b/packages/operators/src/endivesaddle/operators/fences.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from endivesaddle.fleet.clock import Clock
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
+from endivesaddle.fleet.errors import UserError
 from endivesaddle.fleet.ports import Store, Stored
 from endivesaddle.fleet.sentinels import Absent, Conflict
 from endivesaddle.operators.writes import Write, Writer
@@ -27,7 +29,7 @@
     orders: dict[str, int]
 
 
-_decoder = msgspec.json.Decoder(_Counter)
+_decoder: JsonDecoder[_Counter] = JsonDecoder(_Counter)
 
 
 class Fences:
@@ -88,4 +90,7 @@
 def _parsed(found: Stored | Absent) -> _Counter:
     if isinstance(found, Absent) or found.value is None:
         return {'last': 0, 'orders': {}}
-    return _decoder.decode(found.value)
+    try:
+        return _decoder.decode(found.value)
+    except UnreadableValue as error:
+        raise UserError(f'{found.key} can not be decoded, remove it: {error}') from error
--- a/packages/operators/src/endivesaddle/operators/local/explain.py
+++ b/packages/operators/src/endivesaddle/operators/local/explain.py
@@ -10,8 +10,7 @@
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
-
+from endivesaddle.fleet.decoding import UnreadableValue, decode_json
 from endivesaddle.fleet.errors import UserError
 from endivesaddle.operators.local_command import Invocation, local_command
 from endivesaddle.operators.reply import Reply
@@ -67,7 +66,7 @@
     bad_lines = 0
     for name in files:
         for text in _texts(name):
-            line = _line(text)
+            line = line_fields(text)
             if line:
                 lines.append(line)
             else:
@@ -83,14 +82,14 @@
     return (line for line in text.splitlines() if line.strip())
 
 
-def _line(text: str) -> dict[str, Any]:
+def line_fields(text: str) -> dict[str, Any]:
     """Return one line's fields, nothing where it is no line of ours."""
     begun = START.search(text)
     if begun is None:
         return {}
     try:
-        fields = msgspec.json.decode(text[begun.start() :])
-    except msgspec.DecodeError:
+        fields = decode_json(text[begun.start() :])
+    except UnreadableValue:
         return {}
     return fields if isinstance(fields, dict) and 'name' in fields else {}
 
--- a/packages/platform/src/endivesaddle/platform/etcd_http.py
+++ b/packages/platform/src/endivesaddle/platform/etcd_http.py
@@ -15,6 +15,7 @@
 
 from endivesaddle.fleet import events
 from endivesaddle.fleet.clock import Clock, left_s
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue, decode_json
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed, UserError
 from endivesaddle.platform.settings import PlatformSettings
 
@@ -62,7 +63,8 @@
 """Failures after which the store may or may not have received the call."""
 
 
-WATCH_FAILURES = (*MAYBE_SENT, Refused, msgspec.DecodeError)
+_object_decoder: JsonDecoder[dict[str, Any]] = JsonDecoder(dict[str, Any])
+WATCH_FAILURES = (*MAYBE_SENT, Refused, UnreadableValue)
 
 
 class Gateway:
@@ -119,7 +121,7 @@
             async with self._stream(url + path, body) as reply:
                 raise_for_status(reply.status_code, b'')
                 async for text in _until_silent(reply.aiter_lines(), silence_s):
-                    yield msgspec.json.decode(text)
+                    yield decode_json(text)
         except WATCH_FAILURES as error:
             self._fail_over(url, describe(error))
             raise StoreUnreachable(f'a watch broke: {describe(error)}') from error
@@ -192,8 +194,8 @@
             reply = await self._client.post(url, content=msgspec.json.encode(body), timeout=timeout)
         raise_for_status(reply.status_code, reply.content)
         try:
-            return msgspec.json.decode(reply.content, type=dict[str, Any])
-        except msgspec.DecodeError as error:
+            return _object_decoder.decode(reply.content)
+        except UnreadableValue as error:
             raise Unavailable('the reply is not a JSON object') from error
 
     def _stream(self, url: str, body: dict[str, Any]) -> Any:
@@ -211,8 +213,8 @@
     if status == httpx.codes.OK:
         return
     try:
-        found = msgspec.json.decode(content, type=dict[str, Any])
-    except msgspec.DecodeError:
+        found = _object_decoder.decode(content)
+    except UnreadableValue:
         found = {}
     text = f'HTTP {status} {found.get("message", "")}'.strip()
     if found.get('code') in NOT_APPLIED:
--- a/packages/platform/src/endivesaddle/platform/instance_list.py
+++ b/packages/platform/src/endivesaddle/platform/instance_list.py
@@ -12,14 +12,15 @@
 
 import anyio
 import httpx
-import msgspec
 
 from endivesaddle.fleet import events
 from endivesaddle.fleet.clock import Clock, left_s
+from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import FleetError
 from endivesaddle.platform.settings import PlatformSettings
 
 STATES = frozenset(('live', 'leaving'))
+_decoder: JsonDecoder[list[dict[str, str]]] = JsonDecoder(list[dict[str, str]])
 
 LIST_UNREADABLE = events.event(
     5003, 'WARNING', 'instance_list_lost', "the platform's list of instances could not be read"
@@ -74,7 +75,7 @@
             return self._last_list
         if reply.status_code != httpx.codes.OK:
             raise ListUnreadable(f'HTTP {reply.status_code}')
-        self._last_list = _decode_list(reply.content)
+        self._last_list = decode_list(reply.content)
         self._etag = reply.headers.get('etag', '')
         return self._last_list
 
@@ -93,11 +94,12 @@
             await anyio.sleep(self._settings.instance_list_poll_s)
 
 
-def _decode_list(content: bytes) -> tuple[ListedInstance, ...]:
+def decode_list(content: bytes) -> tuple[ListedInstance, ...]:
+    """Return the listed instances, sorted; raises ``ListUnreadable``."""
     try:
-        found = msgspec.json.decode(content, type=list[dict[str, str]])
+        found = _decoder.decode(content)
         entries = [ListedInstance(entry['instance'], entry['state']) for entry in found]
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (UnreadableValue, KeyError) as error:
         raise ListUnreadable(f'not a list of instances: {error}') from error
     unknown = [entry for entry in entries if entry.state not in STATES]
     if unknown:
