Let no signal but SIGKILL end a process that stops gracefully

Cause: the receiver of signals was a context around the wait for the first SIGTERM. Leaving it restored the default action of all its signals, for a stop of up to 8 s. A second SIGTERM or SIGINT ended the process in the same way, and so did SIGUSR1, which the adapter's programs never took; and each of them during the imports and after the last request.

Evidence: the router ended with status -1 within the stop; a stop deadline that is cut short would give 0 and a log line, an error 1 and a traceback. process_signals.feature on: the series of signals, and the starts of router and sidecar fail (status -1 and -10); all five scenarios pass now.

Change: one mechanism for the programs of the adapter, endivesaddled and the demo, in place of two. Signals are taken before the imports and written to a socket by the interpreter's handler; the event loop reads them in order, acts by a registry and logs each with its effect. At the end they are ignored until the process is gone. An error that ends a process is logged as process_failed.

Why this works: between the first lines of a program and its end no signal of the set has its default action at any time, so none can end it; and the action on a signal to stop is taken once.

--- /dev/null
+++ b/features/process_signals.feature
@@ -0,0 +1,38 @@
+Feature: Signals to processes
+  Real processes get signals in series, from their start to their end, with requests in flight.
+  A process stops once; no further signal but SIGKILL changes what it has promised.
+
+  Scenario: No signal cuts the requests of a router that stops gracefully
+    Failure: the router took signals up to the first SIGTERM alone.  A second one, SIGINT, SIGHUP or
+    SIGUSR1 ended it at once, and cut all requests in flight.
+    When routers with requests and streams in flight each get one series of signals
+      | signals                                                    |
+      | SIGTERM                                                    |
+      | SIGTERM SIGHUP                                             |
+      | SIGTERM SIGTERM                                            |
+      | SIGTERM SIGINT SIGINT                                      |
+      | SIGINT SIGTERM                                             |
+      | SIGTERM SIGUSR1 SIGPIPE                                    |
+      | SIGUSR1 SIGHUP SIGTERM SIGHUP SIGUSR1 SIGTERM SIGINT SIGHUP |
+    Then all callers got whole answers
+    And each router ended with status 0 and logged the signals that it got
+
+  Scenario Outline: A <role> is ended by no signal before it serves or after its last request
+    Failure: a change of the settings during a start or at the end of a stop ended the process.
+    When a <role> gets SIGHUP and SIGUSR1 again and again, and SIGTERM once it serves
+    Then it served, and ended with status 0
+
+    Examples:
+      | role    |
+      | router  |
+      | sidecar |
+
+  Scenario Outline: No second signal cuts a stream of the OpenAI interface
+    When the <role> process of an open stream gets SIGTERM and then <signals>
+    Then the processes gave the whole answer, from one run, with one bill
+    And the stopped process ended by itself with nothing cut
+
+    Examples:
+      | role    | signals                       |
+      | router  | SIGTERM SIGINT SIGHUP SIGUSR1 |
+      | sidecar | SIGHUP SIGTERM SIGINT SIGUSR1 |
--- /dev/null
+++ b/features/steps/process_signals_steps.py
@@ -0,0 +1,58 @@
+"""Steps of process_signals.feature."""
+
+import functools
+from typing import Any
+
+from behave import then, when
+
+from subjects import processes
+from subjects.signalled_programs import PATHS, SignalledPrograms
+
+UNHANDLED = 'SIGPIPE'
+
+
+@when('routers with requests and streams in flight each get one series of signals')
+def send_series(context: Any) -> None:
+    """Run one router for each row, side by side."""
+    context.series = [row['signals'].split() for row in context.table]
+    context.programs = SignalledPrograms()
+    context.programs.send_series(context.series)
+
+
+@then('all callers got whole answers')
+def whole_answers(context: Any) -> None:
+    """Check what the callers got."""
+    given = context.programs.given
+    assert len(given) == len(PATHS) * len(context.series), given
+    assert all(one.whole and one.status == 200 for one in given), given
+
+
+@then('each router ended with status 0 and logged the signals that it got')
+def ended_and_logged(context: Any) -> None:
+    """Check the statuses and the log lines; the routers may end in any order."""
+    programs = context.programs
+    assert not any(programs.exit_statuses), programs.exit_statuses
+    handled = [[name for name in one if name != UNHANDLED] for one in context.series]
+    assert sorted(programs.logged) == sorted(handled), programs.logged
+
+
+@when('a {role} gets SIGHUP and SIGUSR1 again and again, and SIGTERM once it serves')
+def send_always(context: Any, role: str) -> None:
+    """Run one program."""
+    context.programs = SignalledPrograms()
+    context.programs.send_always(role)
+
+
+@then('it served, and ended with status 0')
+def served(context: Any) -> None:
+    """Check the program."""
+    assert context.programs.served == [True]
+    assert context.programs.exit_statuses == [0], context.programs.exit_statuses
+
+
+@when('the {role} process of an open stream gets SIGTERM and then {signals}')
+def stop_twice(context: Any, role: str, signals: str) -> None:
+    """Run the play of a graceful stop, with more signals behind the first."""
+    context.subject = processes.Processes()
+    play = functools.partial(processes.stop, role=role, signals=tuple(signals.split()))
+    context.subject.run(play)
--- a/features/subjects/processes.py
+++ b/features/subjects/processes.py
@@ -292,8 +292,11 @@
     return {'exit_status': done.returncode, **msgspec.json.decode(done.stdout)}
 
 
-async def stop(done: Processes, small: Small, role: str) -> None:
-    """Tell a process to stop while a stream goes through it, then let the stream end."""
+async def stop(done: Processes, small: Small, role: str, signals: tuple[str, ...] = ()) -> None:
+    """Tell a process to stop while a stream goes through it, then let the stream end.
+
+    It gets ``signals`` while it stops.
+    """
     small.hold()
     async with anyio.create_task_group() as group:
         done.streams.append(Stream(small, small.routers[0]))
@@ -302,6 +305,9 @@
         stopped = small.serving_sidecar() if role == 'sidecar' else small.routers[0]
         stopped.signal(signal.SIGTERM)
         await stopped.line_with('"process_leaving"')
+        for name in signals:
+            stopped.signal(signal.Signals[name])
+            await stopped.line_with(f'"signal":"{name}"')
         small.let_go()
     done.exit_statuses.append(await stopped.has_ended())
     done.events = [
--- a/packages/daemon/src/endivesaddle/daemon/cli.py
+++ b/packages/daemon/src/endivesaddle/daemon/cli.py
@@ -1,5 +1,7 @@
 """The command ``endivesaddled``: start a router or a sidecar."""
 
+from endivesaddle.daemon import early_signals  # noqa: F401, I001 (before the other imports)
+
 import dataclasses
 import sys
 
@@ -7,10 +9,12 @@
 import cappa
 from rich.console import Console
 
-from endivesaddle.daemon import logs, process, signals
+from endivesaddle.daemon import logs, process
 from endivesaddle.daemon.building import build_router, build_sidecar
 from endivesaddle.daemon.router import RouterSettings
+from endivesaddle.daemon.running import run_process
 from endivesaddle.daemon.sidecar import SidecarSettings
+from endivesaddle.daemon.signals import SignalReader
 from endivesaddle.fleet.errors import EXIT_USAGE, UserError
 
 ONE_LINE_CHARACTERS = 10_000
@@ -30,7 +34,10 @@
 
 @cappa.command(
     name='endivesaddled',
-    help='Run a process of the fleet. Each flag has a variable, named behind it.',
+    help=(
+        'Run a process of the fleet. Each flag has a variable, named behind it. SIGTERM and '
+        'SIGINT (Ctrl-C) stop it gracefully; a second one changes nothing, SIGKILL ends it at once.'
+    ),
 )
 @dataclasses.dataclass
 class Daemon:
@@ -50,7 +57,7 @@
         if isinstance(command, Check):
             sys.stdout.write(f'the settings of {command.command.place.instance} are good\n')
             return
-        anyio.run(_run, command)
+        run_process(_run, command)
     except* UserError as errors:
         # It comes out of task groups, wrapped once for each.
         sys.stderr.write(f'endivesaddled: {_innermost(errors)}\n')
@@ -62,12 +69,19 @@
     async with anyio.create_task_group() as group:
 
         def started(ready: process.Started) -> None:
-            group.start_soon(signals.answer, ready)
+            reader = SignalReader(ready.node.state.dump)
+            group.start_soon(reader.run)
+            group.start_soon(_stop_on_signal, reader, ready)
 
         await process.run(settings, _build(settings), started)
         group.cancel_scope.cancel()
 
 
+async def _stop_on_signal(reader: SignalReader, ready: process.Started) -> None:
+    await reader.stopping.wait()
+    ready.stop()
+
+
 def _build(settings: RouterSettings | SidecarSettings) -> process.Build:
     if isinstance(settings, RouterSettings):
         return build_router(settings)
--- a/packages/daemon/src/endivesaddle/daemon/events.py
+++ b/packages/daemon/src/endivesaddle/daemon/events.py
@@ -23,3 +23,5 @@
     'connections_full',
     'New connections of callers are closed before they are read.',
 )
+SIGNAL = event(8012, 'INFO', 'signal_received', 'The process received a signal; with its effect.')
+FAILED = event(8013, 'ERROR', 'process_failed', 'An error ended the process.')
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -17,7 +17,7 @@
 from endivesaddle.daemon.forward_parts import ForwardPorts, decisions
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
 from endivesaddle.daemon.overload_parts import OverloadParts
-from endivesaddle.daemon.stopping import stop_signal
+from endivesaddle.daemon.signals import SignalReader
 from endivesaddle.fleet.clock import MonotonicClock
 from endivesaddle.fleet.ports import Handlers
 from endivesaddle.fleet.routes.call_times import TimedPeers
@@ -83,6 +83,7 @@
             parts.store_status,
             settings.store,
         )
+        self._signals = SignalReader(self.state)
         self._crashes = StoredCrashes(parts.store, parts.dispatcher.crashes, clock)
         self._metrics = ForwardMetrics(self.state)
         parts.store.observer = self._metrics.store_called
@@ -119,6 +120,7 @@
             serve_calls(handlers, self._settings.place.listen, self._settings.links),
             anyio.create_task_group() as group,
         ):
+            group.start_soon(self._signals.run)
             # A request that waits for a draw would wait in vain if draws were started anew.
             group.start_soon(self.parts.pools.run)
             for part in self._running():
@@ -215,7 +217,7 @@
                 serve_http, self._metrics, place.metrics_listen, http, routing_state, closed
             )
             events.STARTED.log(address=place.listen, http_address=place.http_listen)
-            await stop_signal()
+            await self._signals.stopping.wait()
             await self._stop()
             closed.set()
 
--- a/packages/daemon/src/endivesaddle/daemon/signals.py
+++ b/packages/daemon/src/endivesaddle/daemon/signals.py
@@ -1,32 +1,70 @@
-"""Signals of the platform and of operators: stop, and dump the state."""
+"""What a process does on signals, from its start to its end.
+
+A process stops once, at the first SIGTERM or SIGINT.  None of the signals that follow changes what
+it has promised until then: they are logged, and it stops as it would without them.
+"""
 
 import signal
 import sys
+from collections.abc import Callable
+from typing import Any
 
 import anyio
 import msgspec
 
 from endivesaddle.daemon import events
-from endivesaddle.daemon.node import Node
-from endivesaddle.daemon.process import Started
+from endivesaddle.daemon.received_signals import received
+from endivesaddle.fleet.registry import Registry
+
+
+class SignalReader:
+    """Acts on the signals that this process receives.
+
+    ``stopping`` is set at the first signal to stop.
+    """
+
+    def __init__(self, dump: Callable[[], dict[str, Any]]) -> None:
+        """Initialize; ``dump`` returns the state of the process."""
+        self.stopping = anyio.Event()
+        self.dump = dump
+
+    async def run(self) -> None:
+        """Act on signals until cancelled, those received before the start included."""
+        signals = received()
+        while True:
+            for number in signals.read():
+                effect = actions.find(number.name)(self)
+                events.SIGNAL.log(signal=number.name, effect=effect)
+            await anyio.wait_readable(signals.socket)
+
+
+Action = Callable[[SignalReader], str]
+actions: Registry[Action] = Registry('signal')
+"""The action on each signal; it returns the effect for the log."""
+
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+@actions.add(signal.SIGTERM.name)
+@actions.add(signal.SIGINT.name)
+def stop(reader: SignalReader) -> str:
+    """Stop gracefully, unless the process does so already."""
+    if reader.stopping.is_set():
+        return 'none, it stops already'
+    reader.stopping.set()
+    return 'it stops'
 
 
-async def answer(started: Started) -> None:
-    """Stop gracefully on SIGTERM and SIGINT, dump the state on SIGUSR1."""
-    with anyio.open_signal_receiver(*SIGNALS) as received:
-        async for signum in received:
-            if signum == signal.SIGUSR1:
-                dump(started.node)
-            else:
-                started.stop()
+@actions.add(signal.SIGHUP.name)
+def note_settings(reader: SignalReader) -> str:
+    """Go on: settings are read at the start alone."""
+    return 'none, changed settings are read at the next start'
 
 
-def dump(node: Node) -> None:
+@actions.add(signal.SIGUSR1.name)
+def dump(reader: SignalReader) -> str:
     """Write the state to standard output as one line of JSON."""
-    document = msgspec.json.encode(node.state.dump(), enc_hook=str)
+    document = msgspec.json.encode(reader.dump(), enc_hook=str)
     sys.stdout.write(document.decode())
     sys.stdout.write('\n')
     sys.stdout.flush()
     events.DUMPED.log(size_bytes=len(document))
+    return 'it dumped its state'
--- a/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
+++ b/packages/daemon/src/endivesaddle/daemon/store_sidecar.py
@@ -5,12 +5,13 @@
 """
 
 import dataclasses
+from typing import Any
 
 import anyio
 
 from endivesaddle.daemon import events
 from endivesaddle.daemon.settings import LogSettings
-from endivesaddle.daemon.stopping import stop_signal
+from endivesaddle.daemon.signals import SignalReader
 from endivesaddle.daemon.tasks import keep
 from endivesaddle.fleet import settings as options
 from endivesaddle.fleet.clock import MonotonicClock
@@ -66,6 +67,7 @@
         self._store = store
         self._clock = MonotonicClock()
         self._polls = SharedPolls(store, self._clock)
+        self._signals = SignalReader(self.state)
         own = Instance(SIDECAR, settings.lifetime, settings.listen, settings.data_centre)
         self._entry = InstanceEntry(store, self._clock, own, SIDECAR_LEASE_S)
         peers = GrpcPeers(settings.links, self._clock)
@@ -87,13 +89,22 @@
             anyio.create_task_group() as group,
         ):
             events.STARTED.log(address=settings.listen, http_address='')
+            group.start_soon(self._signals.run)
             for part in (self._renew_entry, self._allocator.run, self._polls.run):
                 group.start_soon(keep, part.__qualname__, part)
-            await stop_signal()
+            await self._signals.stopping.wait()
             await self._stop()
             group.cancel_scope.cancel()
         events.STOPPED.log(instance=settings.instance)
 
+    def state(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        return {
+            'instance': self._settings.instance,
+            'lifetime': self._settings.lifetime,
+            'grants': self._allocator.dump(),
+        }
+
     async def _stop(self) -> None:
         """Give grants back, at once and when the routers have given back what they hold."""
         events.LEAVING.log(instance=self._settings.instance)
--- a/packages/stand_ins/src/endivesaddle/stand_ins/demo.py
+++ b/packages/stand_ins/src/endivesaddle/stand_ins/demo.py
@@ -3,7 +3,6 @@
 With ``--serve`` it stays up and prints what ``curl`` or any OpenAI client needs.
 """
 
-import signal
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -13,6 +12,8 @@
 import httpx
 from loguru import logger
 
+from endivesaddle.daemon.running import run_process
+from endivesaddle.daemon.signals import SignalReader
 from endivesaddle.stand_ins.demo_clients import Keys, OperatorClient, declarations, new_keys
 from endivesaddle.stand_ins.demo_speech import say
 from endivesaddle.stand_ins.demo_story import Story
@@ -92,8 +93,11 @@
                 service=SERVICE,
             )
         )
-        with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
-            await anext(signals)
+        reader = SignalReader(dict)
+        async with anyio.create_task_group() as group:
+            group.start_soon(reader.run)
+            await reader.stopping.wait()
+            group.cancel_scope.cancel()
     return 0
 
 
@@ -101,7 +105,9 @@
     """Run the demo; 0 only if all held."""
     logger.remove()
     logger.add(sys.stderr, level='ERROR')
-    return anyio.run(serve if '--serve' in sys.argv[1:] else tell)
+    if '--serve' in sys.argv[1:]:
+        return run_process(serve)
+    return anyio.run(tell)
 
 
 if __name__ == '__main__':
