Believe nothing of a server's response before it answers this request

Callers saw: saves that may run once were told "not run" and ran; their callers sent them again, and some were applied twice.

Cause: Execution judged status 421 and the header of refusals, and applied the signals of servers, before it compared the response's id. A faulty server's repeated refusal of an earlier request was counted as the refusal of the next one on the connection.

Evidence: with a scripted refusal of another request the caller got 503 and the attempt was taken back, with a foreign 200 it got 502.

Change: the id comes first; of a response to another request, or without an id, nothing counts: no refusal, no 421, no signal. One late response is passed over and the own one behind it relayed, if it names a request that the connection has carried and says itself where it ends. Such a connection carries no further request. forward_foreign_response logs both ids and what the response said.

Why this works: what is told of a run now follows from a response with the id of that run, or from none. The response behind a late one must bear this request's id as well, so the same check guards it.

--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -128,3 +128,19 @@
     Given a unsafe route with 1 attempts, whose servers hangs
     When a request is forwarded
     Then the answer came after 4000 ms
+
+  Scenario Outline: Nothing counts that a response to another request says
+    Failure: a server's repeated refusal was taken for the answer to the next request, which was
+    told as not run, or sent again, and ran.
+    Given a unsafe route with 2 attempts, whose servers <servers>
+    When a request is forwarded
+    Then the caller got 502
+    And the request ran 1 times
+    And it was sent 1 times
+    And 3 servers still take requests, without a wait or a limit
+
+    Examples:
+      | servers         |
+      | strays          |
+      | strays_declined |
+      | strays_moved    |
--- a/features/server_connections.feature
+++ b/features/server_connections.feature
@@ -45,6 +45,37 @@
       | doubled late |
       | closes after |
 
+  Scenario Outline: A late repetition is passed over, and the own response behind it is relayed
+    Failure: a request that may not be repeated ended with an error, though its server responded to
+    it right behind the repetition.
+    Given a server whose answers are: whole, <late>, whole
+    When it is sent a request for each
+    Then the router got: body, body, body
+    And 2 connections were opened
+
+    Examples:
+      | late            |
+      | repeats         |
+      | repeats slowly  |
+      | repeats refusal |
+
+  Scenario Outline: A response is relayed only if it certainly begins behind a whole repetition
+    Failure: bytes from the middle of other data would reach the caller as its response.
+    Given a server whose answers are: whole, <late>, whole
+    When it is sent a request for each
+    Then the router got: body, <got>, body
+    And 2 connections were opened
+
+    Examples:
+      | late               | got       |
+      | repeats twice      | another's |
+      | repeats unframed   | another's |
+      | repeats and closes | lost      |
+      | repeats and strays | lost      |
+      | repeats and breaks | lost      |
+      | unknown            | another's |
+      | unnamed            | another's |
+
   Scenario: An interim response is skipped
     Given a server whose answers are: interim, whole
     When it is sent a request for each
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -135,3 +135,9 @@
 def paid(context: Any, count: int) -> None:
     """Compare what the router counted."""
     assert context.runs.retries() == count, context.runs.retries()
+
+
+@then('{count:d} servers still take requests, without a wait or a limit')
+def unchanged_servers(context: Any, count: int) -> None:
+    """Check what the router believes of the servers."""
+    assert context.runs.unhindered_servers() == count, context.runs.unhindered_servers()
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -63,6 +63,9 @@
         self.status = status
         self.headers: Pairs = SEAL
         self.own = True
+        self.answered_id = call.request.request_id
+        self.skipped = None
+        self.encoded = False
         self.sealed = True
         self.declined = False
         self.misdirected = False
@@ -129,6 +132,21 @@
     return answer
 
 
+def strays_declined(call: ServerCall) -> ScriptedAnswer:
+    """Answer with a refusal of another request."""
+    answer = declines(call)
+    answer.own = False
+    answer.signals = {'leaving': '1', 'retry_after': '30', 'limit': '0'}
+    return answer
+
+
+def strays_moved(call: ServerCall) -> ScriptedAnswer:
+    """Answer another request, as another server at the same address."""
+    answer = moved(call)
+    answer.own = False
+    return answer
+
+
 def unsealed(call: ServerCall) -> ScriptedAnswer:
     """Answer with a success without the server's seal."""
     answer = ScriptedAnswer(call)
@@ -157,6 +175,8 @@
             declines,
             moved,
             strays,
+            strays_declined,
+            strays_moved,
             unsealed,
             unreached,
             lost,
@@ -332,6 +352,15 @@
         """Leave no retry: the slack is shared with too many routers."""
         settle(self._dispatcher, MANY_ROUTERS)
 
+    def unhindered_servers(self) -> int:
+        """Return how many servers take requests; 0 if one of them has a limit."""
+        if len(self._routing_state.limits):
+            return 0
+        backends = map(
+            self._dispatcher.backends.of, self._routing_state.available_servers('engines')
+        )
+        return sum(backend.accepts_requests(self._now_unix_s) for backend in backends)
+
     def retries(self) -> float:
         """Return the retries that were paid for."""
         return self._dispatcher.retry_shares.dump(self._now_unix_s)['engines']['retries']
--- a/features/subjects/server_connections.py
+++ b/features/subjects/server_connections.py
@@ -121,6 +121,77 @@
     peer.writer.write(OTHERS)
 
 
+def repeated(peer: Peer, framing: bytes, body: bytes) -> bytes:
+    """Return a response to the request before this one."""
+    return ANSWER % (peer.number - 1, framing, body)
+
+
+REFUSAL = b'content-length: 4\r\nendivesaddle-not-run: 1'
+
+
+async def repeats(peer: Peer) -> None:
+    """Repeat the response to the request before, then respond, in one packet."""
+    peer.writer.writelines((repeated(peer, b'content-length: 5\r\n', b'other'), peer.whole()))
+
+
+async def repeats_slowly(peer: Peer) -> None:
+    """Repeat the response to the request before in pieces, then respond."""
+    late = repeated(peer, CHUNKED, b'5\r\nother\r\n0\r\n\r\n')
+    for start in range(0, len(late), 20):
+        peer.writer.write(late[start : start + 20])
+        await _turns()
+    peer.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+    peer.writer.write(peer.whole())
+
+
+async def repeats_refusal(peer: Peer) -> None:
+    """Repeat a refusal, then respond."""
+    peer.writer.write(repeated(peer, b'%b\r\n' % REFUSAL, b'full'))
+    await _turns()
+    peer.writer.write(peer.whole())
+
+
+async def repeats_twice(peer: Peer) -> None:
+    """Repeat the response to the request before twice, then respond."""
+    late = repeated(peer, b'content-length: 5\r\n', b'other')
+    peer.writer.writelines((late, late, peer.whole()))
+
+
+async def repeats_unframed(peer: Peer) -> None:
+    """Repeat the response to the request before, without a length."""
+    peer.writer.writelines((repeated(peer, b'', b'other'), peer.whole()))
+
+
+async def repeats_and_closes(peer: Peer) -> None:
+    """Repeat the response to the request before, and close the connection."""
+    peer.writer.write(repeated(peer, b'content-length: 5\r\n', b'other'))
+    peer.writer.close()
+
+
+async def repeats_and_strays(peer: Peer) -> None:
+    """Send bytes that are no response between a repetition and the response."""
+    late = repeated(peer, b'content-length: 5\r\n', b'other')
+    peer.writer.writelines((late, b'\x00stray bytes', peer.whole()))
+
+
+async def repeats_and_breaks(peer: Peer) -> None:
+    """Repeat the response to the request before, then close within the response."""
+    late = repeated(peer, b'content-length: 5\r\n', b'other')
+    peer.writer.writelines((late, peer.answer(b'content-length: 9\r\n', b'body')))
+    peer.writer.close()
+
+
+async def unknown(peer: Peer) -> None:
+    """Respond to a request that the connection has not carried, then to this one."""
+    peer.writer.writelines((OTHERS, peer.whole()))
+
+
+async def unnamed(peer: Peer) -> None:
+    """Refuse without naming a request."""
+    refusal = b'HTTP/1.1 503 Full\r\nendivesaddle-not-run: 1\r\ncontent-length: 0\r\n\r\n'
+    peer.writer.writelines((refusal, peer.whole()))
+
+
 async def interim(peer: Peer) -> None:
     """Send an interim response before the response."""
     peer.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
@@ -150,6 +221,16 @@
             doubled_late,
             interim,
             closes_after,
+            repeats,
+            repeats_slowly,
+            repeats_refusal,
+            repeats_twice,
+            repeats_unframed,
+            repeats_and_closes,
+            repeats_and_strays,
+            repeats_and_breaks,
+            unknown,
+            unnamed,
         )
     }
 )
--- a/packages/backend_servers/src/endivesaddle/backend_servers/answer_parser.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/answer_parser.py
@@ -1,6 +1,7 @@
-"""Parse one HTTP/1.1 response with ``httptools``."""
+"""Parse HTTP/1.1 responses with ``httptools``, also those that arrive behind the first."""
 
 import re
+from collections import deque
 
 import httptools
 
@@ -13,96 +14,147 @@
 _SIZED = frozenset((b'content-length', b'transfer-encoding'))
 
 
-class AnswerParser:
-    """The received part of one response.
+MAX_RESPONSES = 4
+"""Responses that are held for one request; more are not parsed."""
 
-    ``complete`` is True when all of it has been received, ``reusable`` if the connection may then
-    carry another request.  The parser calls the ``on_`` methods.
-    """
 
-    def __init__(self, bodiless: bool) -> None:
-        """Initialize before the first byte; ``bodiless`` if the request method is HEAD."""
+class ParsedResponse:
+    """The received part of one response."""
+
+    def __init__(self) -> None:
+        """Initialize before the first byte."""
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.has_headers = False
         self.complete = False
-        self.buffered_bytes = 0
-        self._bodiless = bodiless
-        self._extra_data = False
-        self._keeps_open = False
+        self.keeps_open = False
+        self.body_parts: list[bytes] = []
+        self.body_bytes = 0
+
+    @property
+    def sized(self) -> bool:
+        """Whether the response itself says where it ends."""
+        return any(name.lower() in _SIZED for name, _ in self.headers)
+
+    def take_body(self) -> bytes:
+        """Return and remove the received part of the body."""
+        data = b''.join(self.body_parts)
+        self.body_parts.clear()
+        self.body_bytes = 0
+        return data
+
+
+class AnswerParser:
+    """Parses what a server sends on a connection for one request.
+
+    ``response`` is the response that is read.  A server may send another one before it: one that
+    answers an earlier request.  ``skip`` passes over it.  The parser calls the ``on_`` methods.
+    """
+
+    def __init__(self, bodiless: bool) -> None:
+        """Initialize before the first byte; ``bodiless`` if the request method is HEAD."""
+        self.bodiless = bodiless
+        self.skipped_count = 0
+        self.skipped_bytes = 0
+        self._responses = deque((ParsedResponse(),))
+        self._unusable = False
         self._header_bytes = 0
-        self._body_parts: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
 
+    @property
+    def response(self) -> ParsedResponse:
+        """The response that is read."""
+        return self._responses[0]
+
     @property
     def reusable(self) -> bool:
-        """Whether the connection may carry another request."""
-        return self.complete and self._keeps_open and not self._extra_data
+        """Whether the connection may carry another request: all data belonged to this one."""
+        alone = len(self._responses) == 1 and not self.skipped_count and not self._unusable
+        return alone and self.response.complete and self.response.keeps_open
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of bodies that were received and not taken yet."""
+        return sum(response.body_bytes for response in self._responses)
 
     @property
     def keep_alive_s(self) -> int:
         """Seconds for which the server keeps the connection, from Keep-Alive; 0 if not given."""
-        header = next((value for name, value in self.headers if name.lower() == _KEEP_ALIVE), b'')
+        headers = self.response.headers
+        header = next((value for name, value in headers if name.lower() == _KEEP_ALIVE), b'')
         found = _TIMEOUT.search(header)
         return int(found.group(1)) if found else 0
 
     def feed(self, data: bytes) -> str:
         """Parse received bytes; return an error text, '' if there is no error.
 
-        Extra bytes after a complete response make the connection unusable, not the response.
+        Whatever comes behind a complete response doesn't change it, and makes the connection
+        unusable.
         """
-        if not self.has_headers:
+        if self._unusable:
+            return 'the data behind a response could not be parsed'
+        if not self._last.has_headers:
             self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._extra_data = True
-            return '' if self.complete else f'{type(error).__name__} {error}'
-        too_long = not self.has_headers and self._header_bytes > MAX_HEADER_BYTES
-        return 'the response headers are too long' if too_long else ''
+            self._unusable = True
+            return f'{type(error).__name__} {error}'
+        if not self._last.has_headers and self._header_bytes > MAX_HEADER_BYTES:
+            self._unusable = True
+            return 'the response headers are too long'
+        return ''
+
+    def skip(self) -> None:
+        """Pass over the response that is read, which is complete; the next one is read then."""
+        self.skipped_count += 1
+        self._responses.popleft()
+        if not self._responses:
+            self._responses.append(ParsedResponse())
 
     def end(self) -> bool:
-        """Handle the end of the connection; return whether the response is complete."""
-        sized = any(name.lower() in _SIZED for name, _ in self.headers)
-        self._keeps_open = False
-        self.complete = self.complete or (self.has_headers and not sized)
-        return self.complete
-
-    def take_body(self) -> bytes:
-        """Return and remove the received part of the body."""
-        data = b''.join(self._body_parts)
-        self._body_parts.clear()
-        self.buffered_bytes = 0
-        return data
+        """Handle the end of the connection; return whether the last response is complete."""
+        self._unusable = True
+        last = self._last
+        last.complete = last.complete or (last.has_headers and not last.sized)
+        return last.complete
 
     def on_message_begin(self) -> None:
-        """Handle the start of a message; a second one makes the connection unusable."""
-        self._extra_data = self._extra_data or self.complete
+        """Handle the start of a message."""
+        if self._last.complete and len(self._responses) < MAX_RESPONSES:
+            self._header_bytes = 0
+            self._responses.append(ParsedResponse())
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store one header; trailers after the body are ignored."""
-        if not self.has_headers:
-            self.headers.append((name, content))
+        if not self._last.has_headers:
+            self._last.headers.append((name, content))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the headers; interim responses are dropped."""
-        if self.has_headers:
+        last = self._last
+        if last.has_headers:
             return
-        self.status = self._parser.get_status_code()
-        if self.status < MIN_FINAL_STATUS:
-            self.headers.clear()
+        last.status = self._parser.get_status_code()
+        if last.status < MIN_FINAL_STATUS:
+            last.headers.clear()
             return
-        self.has_headers = True
-        self.complete = self._bodiless
+        last.has_headers = True
+        last.complete = self.bodiless
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        if not self.complete:
-            self._body_parts.append(body)
-            self.buffered_bytes += len(body)
+        if not self._last.complete:
+            self._last.body_parts.append(body)
+            self._last.body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Handle the end of the response."""
-        if self.has_headers and not self.complete:
-            self.complete = True
-            self._keeps_open = self._parser.should_keep_alive()
+        last = self._last
+        if last.has_headers and not last.complete:
+            last.complete = True
+            last.keeps_open = self._parser.should_keep_alive()
+
+    @property
+    def _last(self) -> ParsedResponse:
+        return self._responses[-1]
--- a/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
@@ -31,7 +31,8 @@
     """A request to send; target and headers are the bytes that were received.
 
     ``may_send`` is called right before sending: does the server still accept requests?  What it
-    raises is passed on; the request is not sent then.
+    raises is passed on; the request is not sent then.  ``request_id`` identifies the request in
+    responses, '' if they don't name it.
     """
 
     method: str
@@ -39,6 +40,7 @@
     headers: RawHeaders
     body: bytes
     may_send: Callable[[], bool]
+    request_id: str = ''
 
     def encoded(self) -> bytes:
         """Return its bytes; raise ``NeverSent`` if a header contains a line break."""
@@ -81,7 +83,7 @@
             # to 1 s after that.
             if not request.may_send():
                 raise ServerLeft('the server accepts no more requests')
-            response = connection.send(encoded, request.method == BODILESS)
+            response = connection.send(encoded, request.method == BODILESS, request.request_id)
             await response.head()
             yield response
         finally:
@@ -115,6 +117,7 @@
         return await self._connect(address)
 
     def _release(self, lifetime: str, connection: ServerConnection) -> None:
+        connection.end_exchange()
         if connection.idle():
             idle_s = (
                 connection.keep_alive_s - CLOSE_MARGIN_S
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -10,7 +10,12 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.interfaces import ServerLost
 from endivesaddle.fleet.routes.declared import RouteServer
-from endivesaddle.fleet.routes.forwarded import Pairs, ServerCall
+from endivesaddle.fleet.routes.forwarded import (
+    ForeignResponse,
+    Pairs,
+    ServerCall,
+    foreign_response,
+)
 from endivesaddle.fleet.routes.header_names import HOP_BY_HOP, LENGTH, HeaderNames
 
 EVENT_BYTES = 1 << 20
@@ -42,8 +47,11 @@
         }
         self.misdirected = response.status == MISDIRECTED
         echoed = named.get(header_names.request_id, '')
+        self.answered_id = echoed
+        self.own = echoed == call.request.request_id
         # No caller requests an encoding: an encoded body was changed on the way.
-        self.own = echoed == call.request.request_id and ENCODING not in named
+        self.encoded = ENCODING in named
+        self.skipped: ForeignResponse | None = None
         self.sealed = header_names.seal in named
         self._response = response
 
@@ -83,10 +91,22 @@
         """
         request = call.request
         headers = self._headers(call)
-        sent = OutgoingRequest(request.method, request.target, headers, request.body, call.may_send)
+        sent = OutgoingRequest(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            call.may_send,
+            request.request_id,
+        )
         server = call.server
         async with self.pool.exchange(server.lifetime, server.address, sent) as response:
             answer = ForwardedResponse(response, call, self._header_names)
+            if not answer.own and response.may_skip(answer.answered_id):
+                skipped = foreign_response(answer)
+                await response.skip()
+                answer = ForwardedResponse(response, call, self._header_names)
+                answer.skipped = skipped
             self.unread.check(server.lifetime, answer.headers)
             yield answer
 
--- a/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import termios
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 
@@ -33,6 +34,9 @@
 MAX_BUFFERED_BYTES = 1 << 16
 """Maximum of buffered bytes for a slow caller; beyond it reading from the server pauses."""
 
+MAX_IDS = 16
+"""Requests whose late responses are recognized; a connection carries hundreds."""
+
 _INT = struct.Struct('i')
 _RESET = struct.pack('ii', 1, 0)
 """Option of a socket that is reset when it is closed."""
@@ -55,6 +59,8 @@
         self.idle_until_s = 0.0
         self._transport: asyncio.Transport | None = None
         self._answer: RawResponse | None = None
+        self._in_exchange = False
+        self._sent_ids: deque[str] = deque(maxlen=MAX_IDS)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and set its socket time-outs."""
@@ -69,7 +75,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the current response."""
         self._traffic.received_bytes += len(data) + PACKET_BYTES
-        if self._answer is None or self._answer.parser.complete:
+        if self._answer is None or not self._in_exchange:
             # Unexpected data: a late second response or stray bytes.
             self.abort()
         else:
@@ -88,15 +94,26 @@
         if self._answer is not None:
             self._answer.fail(f'{type(exc).__name__} {exc}' if exc else 'the connection closed')
 
-    def send(self, request: bytes, bodiless: bool) -> 'RawResponse':
-        """Send the bytes of a request and return its response."""
+    def send(self, request: bytes, bodiless: bool, request_id: str = '') -> 'RawResponse':
+        """Send the bytes of a request and return its response.
+
+        ``request_id`` identifies the request in responses, '' if they don't name it.
+        """
         if self._transport is None:
             raise NeverSent('the connection closed')
-        self._answer = RawResponse(self._transport, AnswerParser(bodiless))
+        earlier_ids = frozenset(self._sent_ids)
+        self._answer = RawResponse(self._transport, AnswerParser(bodiless), earlier_ids)
+        self._in_exchange = True
+        if request_id:
+            self._sent_ids.append(request_id)
         self._traffic.sent_bytes += len(request) + PACKET_BYTES
         self._transport.write(request)
         return self._answer
 
+    def end_exchange(self) -> None:
+        """Expect no more data until the next request."""
+        self._in_exchange = False
+
     def idle(self) -> bool:
         """Return whether another request may be sent: the last response ended without extra data.
 
@@ -133,9 +150,15 @@
 class RawResponse:
     """The response to one request: its headers, and its body as it arrives."""
 
-    def __init__(self, transport: asyncio.Transport, parser: AnswerParser) -> None:
-        """Read the response from ``transport``."""
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        parser: AnswerParser,
+        earlier_ids: frozenset[str] = frozenset(),
+    ) -> None:
+        """Read the response from ``transport``, which has carried requests ``earlier_ids``."""
         self.parser = parser
+        self._earlier_ids = earlier_ids
         self._transport = transport
         self._failure = ''
         self._paused = False
@@ -144,12 +167,12 @@
     @property
     def status(self) -> int:
         """The status, once the headers have been received."""
-        return self.parser.status
+        return self.parser.response.status
 
     @property
     def headers(self) -> list[tuple[bytes, bytes]]:
         """The headers, once they have been received."""
-        return self.parser.headers
+        return self.parser.response.headers
 
     async def head(self) -> None:
         """Wait for the headers; raise ``ServerLost`` if the connection breaks."""
@@ -159,14 +182,32 @@
         """Yield the body as it arrives; raise ``ServerLost`` if it ends early."""
         while True:
             await self._until(self._has_data)
-            data = self.parser.take_body()
+            data = self.parser.response.take_body()
             if not data:
                 return
-            if self._paused:
-                self._paused = False
-                self._transport.resume_reading()
+            self._resume()
             yield data
 
+    def may_skip(self, request_id: str) -> bool:
+        """Return whether this is a late response, behind which the own one may still come.
+
+        It must say itself where it ends and name a request that this connection has carried:
+        otherwise the own response could be read from the middle of other data.
+        """
+        sized = self.parser.response.sized and not self.parser.bodiless
+        return sized and request_id in self._earlier_ids and not self.parser.skipped_count
+
+    async def skip(self) -> None:
+        """Pass over this response and wait for the headers of the next one.
+
+        Raises ``ServerLost`` if the connection breaks.
+        """
+        async for chunk in self.chunks():
+            self.parser.skipped_bytes += len(chunk)
+        self.parser.skip()
+        self._resume()
+        await self.head()
+
     def take(self, data: bytes) -> None:
         """Parse received bytes of the response."""
         self._failure = self._failure or self.parser.feed(data)
@@ -193,11 +234,17 @@
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
 
+    def _resume(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+
     def _has_headers(self) -> bool:
-        return self.parser.has_headers
+        return self.parser.response.has_headers
 
     def _has_data(self) -> bool:
-        return self.parser.buffered_bytes > 0 or self.parser.complete
+        response = self.parser.response
+        return response.body_bytes > 0 or response.complete
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -16,11 +16,13 @@
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.departures import Caller, CallerLeft, Stage
 from endivesaddle.fleet.routes.forwarded import (
+    ForeignResponse,
     ForwardRequest,
     ServerCall,
     ServerConnections,
     ServerResponse,
     Sink,
+    foreign_response,
 )
 from endivesaddle.fleet.routes.progress import Progress
 from endivesaddle.fleet.routes.stream_resumption import StreamResumption
@@ -236,6 +238,19 @@
         self._unsent_retry = None
         return self._retry_decision.granted
 
+    def _log_foreign(
+        self, placement: Placement, foreign: ForeignResponse, request_state: str
+    ) -> None:
+        events.FOREIGN_RESPONSE.log(
+            request_id=self.request.request_id,
+            server=placement.backend.server.lifetime,
+            answered_id=foreign.answered_id,
+            status=foreign.status,
+            declined=foreign.declined,
+            signals=foreign.signals,
+            request_state=request_state,
+        )
+
     def _log_failed(self, placement: Placement, outcome: Outcome, reason: str) -> Outcome:
         events.SENDING_FAILED.log(
             request_id=self.request.request_id,
@@ -249,6 +264,14 @@
         return outcome
 
     async def _handle_response(self, placement: Placement, response: ServerResponse) -> Outcome:
+        # Nothing that a response says counts before it is known to answer this request.
+        if response.skipped is not None:
+            self._log_foreign(placement, response.skipped, 'passed over')
+        if not response.own:
+            self._log_foreign(placement, foreign_response(response), 'given up')
+            return self._log_failed(
+                placement, Outcome.LOST, 'the response belongs to another request'
+            )
         if response.misdirected:
             self._progress.record_not_run()
             placement.mark_misdirected()
@@ -260,10 +283,8 @@
             self._progress.record_not_run()
             placement.count_declined()
             return self._log_failed(placement, Outcome.DECLINED, f'declined with {response.status}')
-        if not response.own:
-            return self._log_failed(
-                placement, Outcome.LOST, 'the response belongs to another request'
-            )
+        if response.encoded:
+            return self._log_failed(placement, Outcome.LOST, 'the body was encoded on the way')
         if response.status in SUCCESS_STATUSES and not response.sealed:
             return self._log_failed(
                 placement, Outcome.LOST, 'the success lacks the seal of the server'
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -150,19 +150,34 @@
     source: RouteServer | None = None
 
 
+class ForeignResponse(NamedTuple):
+    """What a response to another request said, for the log."""
+
+    answered_id: str
+    status: int
+    declined: bool
+    signals: tuple[str, ...]
+
+
 class ServerResponse(Protocol):
     """The head of a server's response, and its body on demand.
 
-    ``own`` is whether it answers this request, ``sealed`` whether it has the server's seal,
-    ``declined`` whether the server did not run the request and won't.  ``signals`` are the
-    header values that describe the server itself, by the signal's name.
+    ``own`` is whether it answers this request: if not, it says nothing about it.  ``answered_id``
+    is the id of the request that it names, '' for none.  ``skipped`` is the response to another
+    request that came before it on its connection, if any.  ``sealed`` is whether it has the
+    server's seal, ``encoded`` whether its body was encoded on the way, ``declined`` whether the
+    server did not run the request and won't.  ``signals`` are the header values that describe the
+    server itself, by the signal's name.
     Reading the body raises ``ServerLost`` if it ends early.
     """
 
     status: int
     headers: Pairs
     own: bool
+    answered_id: str
+    skipped: ForeignResponse | None
     sealed: bool
+    encoded: bool
     declined: bool
     misdirected: bool
     signals: Mapping[str, str]
@@ -174,6 +189,13 @@
         """Return the complete body."""
 
 
+def foreign_response(response: ServerResponse) -> ForeignResponse:
+    """Return what a response to another request said."""
+    return ForeignResponse(
+        response.answered_id, response.status, response.declined, tuple(sorted(response.signals))
+    )
+
+
 class ServerConnections(Protocol):
     """Connections to the servers."""
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -18,6 +18,12 @@
 SENT_AFTER_GONE = event(
     2710, 'WARNING', 'forward_sent_after_gone', 'a request is sent although its caller is gone'
 )
+FOREIGN_RESPONSE = event(
+    2713,
+    'WARNING',
+    'forward_foreign_response',
+    'a server sent a response to another request; nothing that it says is applied',
+)
 TAKEN_UP = event(
     2712,
     'INFO',
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -118,10 +118,12 @@
         self._dispatcher.waiting.declined(self._hold)
 
     def apply_signals(self, answer: ServerResponse) -> None:
-        """Apply the signals that the server sent in the headers of its response."""
-        # A response to another request was sent at an unknown time.
-        sent_unix_s = self._acquired_unix_s if answer.own else 0.0
-        header = SignalHeader('', answer.status, sent_unix_s, self._dispatcher.now_s())
+        """Apply the signals that the server sent in the headers of its response to this request.
+
+        A response to another request may be a late repetition: its times have passed, and its
+        limit may have been replaced.  What it said was applied when it first came.
+        """
+        header = SignalHeader('', answer.status, self._acquired_unix_s, self._dispatcher.now_s())
         apply_signals(answer.signals, header, self.backend, self._dispatcher.routing_state)
 
     def mark_misdirected(self) -> None:
