Keep the word to stop when thousands of other signals come before it

The socket to which the interpreter writes signals holds a few hundred. While a process is busy, a flood of SIGHUP would have left no room for SIGTERM, and the process would not have stopped (found by reading, not seen in a run). The handler notes each signal now; the socket only wakes the event loop.

process_signals.feature: "A flood of signals hides none". Responses on a connection are looked up without a property, which streams call per chunk.

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -27,6 +27,11 @@
       | router  |
       | sidecar |
 
+  Scenario: A flood of signals hides none
+    Failure: thousands of SIGHUP while a process is busy would leave no room for the word to stop.
+    When a process that does not read its signals gets 5000 times SIGHUP, and SIGTERM
+    Then it reads SIGHUP and SIGTERM
+
   Scenario Outline: No second signal cuts a stream of the OpenAI interface
     When the <role> process of an open stream gets SIGTERM and then <signals>
     Then the processes gave the whole answer, from one run, with one bill
--- a/features/steps/process_signals_steps.py
+++ b/features/steps/process_signals_steps.py
@@ -1,6 +1,8 @@
 """Steps of process_signals.feature."""
 
 import functools
+import subprocess
+import sys
 from typing import Any
 
 from behave import then, when
@@ -9,6 +11,17 @@
 from subjects.signalled_programs import PATHS, SignalledPrograms
 
 UNHANDLED = 'SIGPIPE'
+FLOOD = """
+import signal, sys
+from endivesaddle.daemon.received_signals import STOP, WITHOUT_STOP, received
+
+signals = received()
+signals.take((*STOP, *WITHOUT_STOP))
+for _ in range(int(sys.argv[1])):
+    signal.raise_signal(signal.SIGHUP)
+signal.raise_signal(signal.SIGTERM)
+print(*[number.name for number in signals.read()])
+"""
 
 
 @when('routers with requests and streams in flight each get one series of signals')
@@ -50,6 +63,19 @@
     assert context.programs.exit_statuses == [0], context.programs.exit_statuses
 
 
+@when('a process that does not read its signals gets {count:d} times SIGHUP, and SIGTERM')
+def flood(context: Any, count: int) -> None:
+    """Have a process of its own send them to itself."""
+    command = [sys.executable, '-c', FLOOD, str(count)]
+    context.read = subprocess.run(command, capture_output=True, text=True, check=True).stdout
+
+
+@then('it reads SIGHUP and SIGTERM')
+def read_both(context: Any) -> None:
+    """Check what it read."""
+    assert context.read.split() == ['SIGHUP', 'SIGTERM'], context.read
+
+
 @when('the {role} process of an open stream gets SIGTERM and then {signals}')
 def stop_twice(context: Any, role: str, signals: str) -> None:
     """Run the play of a graceful stop, with more signals behind the first."""
--- a/packages/backend_servers/src/endivesaddle/backend_servers/answer_parser.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/answer_parser.py
@@ -56,7 +56,8 @@
         self.bodiless = bodiless
         self.skipped_count = 0
         self.skipped_bytes = 0
-        self._responses = deque((ParsedResponse(),))
+        self._last = ParsedResponse()
+        self._responses = deque((self._last,))
         self._unusable = False
         self._header_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -110,7 +111,7 @@
         self.skipped_count += 1
         self._responses.popleft()
         if not self._responses:
-            self._responses.append(ParsedResponse())
+            self._begin_response()
 
     def end(self) -> bool:
         """Handle the end of the connection; return whether the last response is complete."""
@@ -123,7 +124,7 @@
         """Handle the start of a message."""
         if self._last.complete and len(self._responses) < MAX_RESPONSES:
             self._header_bytes = 0
-            self._responses.append(ParsedResponse())
+            self._begin_response()
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store one header; trailers after the body are ignored."""
@@ -155,6 +156,6 @@
             last.complete = True
             last.keeps_open = self._parser.should_keep_alive()
 
-    @property
-    def _last(self) -> ParsedResponse:
-        return self._responses[-1]
+    def _begin_response(self) -> None:
+        self._last = ParsedResponse()
+        self._responses.append(self._last)
--- a/packages/daemon/src/endivesaddle/daemon/received_signals.py
+++ b/packages/daemon/src/endivesaddle/daemon/received_signals.py
@@ -7,6 +7,7 @@
 import functools
 import signal
 import socket
+from contextlib import suppress
 
 READ_BYTES = 4096
 
@@ -15,10 +16,10 @@
 
 
 class ReceivedSignals:
-    """The signals that were received and not read yet; each is a byte in a socket.
+    """The signals that were received and not read yet, each once.
 
-    The interpreter writes the bytes from its own handler, so that no signal is lost between two
-    readers, and none is handled in the middle of other code.
+    ``socket`` becomes readable with each signal: the interpreter writes to it from its own
+    handler.  It may be full of signals that come in quick succession; none is lost then.
     """
 
     def __init__(self) -> None:
@@ -28,19 +29,22 @@
         writer.setblocking(False)
         self.socket = reader
         self._writer = writer
+        self._pending: dict[signal.Signals, None] = {}
 
     def take(self, numbers: tuple[signal.Signals, ...]) -> None:
         """Receive ``numbers`` from now on instead of their default action."""
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
         for number in numbers:
-            signal.signal(number, _keep_running)
+            signal.signal(number, self._note)
 
     def read(self) -> list[signal.Signals]:
         """Return what was received since the last call, oldest first."""
-        try:
-            return [signal.Signals(number) for number in self.socket.recv(READ_BYTES)]
-        except BlockingIOError:
-            return []
+        with suppress(BlockingIOError):
+            self.socket.recv(READ_BYTES)
+        # A signal that comes between these lines is added to one of the two.
+        taken = self._pending
+        self._pending = {}
+        return list(taken)
 
     def ignore(self) -> None:
         """Ignore all signals that were taken, up to the end of the process.
@@ -51,6 +55,9 @@
         for number in (*STOP, *WITHOUT_STOP):
             signal.signal(number, signal.SIG_IGN)
 
+    def _note(self, number: int, frame: object) -> None:
+        self._pending[signal.Signals(number)] = None
+
 
 @functools.cache
 def received() -> ReceivedSignals:
@@ -64,7 +71,3 @@
     SIGTERM and SIGINT still do: it has not promised anything yet.
     """
     received().take(WITHOUT_STOP)
-
-
-def _keep_running(number: int, frame: object) -> None:
-    """Do nothing; a signal with a handler has no default action."""
