--- a/features/steps/unreadable_values_steps.py
+++ b/features/steps/unreadable_values_steps.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+from functools import partial
 from types import MappingProxyType
 from typing import Any
 
@@ -9,6 +10,8 @@
 
 from endivesaddle.callers.forward_requests import Head, read_request
 from endivesaddle.callers.refusals import Invalid
+from endivesaddle.daemon.tasks import keep
+from endivesaddle.stand_ins import virtual
 from subjects import unreadable, unreadable_tasks
 from subjects.logged_events import LoggedEvents
 from subjects.users_platform import declared, header_names
@@ -137,6 +140,30 @@
     assert found.code == 'invalid_header', found
 
 
+@when('a background task fails {count:d} times and then returns')
+def fail_task(context: Any, count: int) -> None:
+    """Keep a task that fails."""
+    context.logged = LoggedEvents()
+    context.add_cleanup(context.logged.close)
+    context.runs = 0
+
+    async def fail() -> None:
+        context.runs += 1
+        if context.runs <= count:
+            raise KeyError('entries')
+
+    virtual.run(partial(keep, 'store watch', fail))
+
+
+@then('it ran {runs:d} times, and {lines:d} lines name it with the error')
+def started_again(context: Any, runs: int, lines: int) -> None:
+    """Check the runs and the log."""
+    assert context.runs == runs, context.runs
+    found = context.logged.fields('task_failed')
+    assert len(found) == lines, found
+    assert all('KeyError' in one['error'] and one['task'] == 'store watch' for one in found), found
+
+
 @then('only the module of decoders calls the decoders of the libraries')
 def one_decoder(context: Any) -> None:
     """Search the sources of the product."""
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -116,6 +116,11 @@
       | deadline-ms   | inf                         |
       | last-event-id | 9223372036854775808         |
 
+  Scenario: A background task that fails all the same is started again, and says why
+    Failure: any error in one task ended the process, and nothing named the task.
+    When a background task fails 2 times and then returns
+    Then it ran 3 times, and 2 lines name it with the error
+
   Scenario: No module decodes on its own
     Failure: two dozen places named the library's errors themselves, and most of them not all.
     Then only the module of decoders calls the decoders of the libraries
