Send signals in tests without taking the exit status away

The log says "Unknown child process pid, will report returncode 255": subprocess's send_signal polls the process first and reaps it if it has just ended, so that the event loop finds no status. The check is as it was.

--- a/features/subjects/processes_launch.py
+++ b/features/subjects/processes_launch.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any, NamedTuple
 
 import anyio
@@ -91,9 +91,14 @@
         return [msgspec.json.decode(line) for line in found]
 
     def signal(self, signum: int) -> None:
-        """Send a signal to this process alone."""
+        """Send a signal to this process alone.
+
+        ``send_signal`` would look first whether the process has ended, and take its exit status
+        away from the event loop, which then reports 255.
+        """
         if not self.ended and self._process.returncode is None:
-            self._process.send_signal(signum)
+            with suppress(ProcessLookupError):
+                os.kill(self._process.pid, signum)
 
     async def end(self) -> None:
         """Stop it, by force where it does not stop soon."""
