--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -5,7 +5,7 @@
 
 Settings: ``id``, ``service``, ``address``, ``zone``, ``version``, ``slots``, ``store``, ``log``,
 ``events`` (most events of a stream), ``event_s`` (time between events), ``stride`` (tokens of an
-event).  ``turn_away`` (0 or more seconds, a list): the Retry-After of the answers that a worker
+event), ``answer_bytes`` (of an answer that is no stream).  ``turn_away`` (0 or more seconds, a list): the Retry-After of the answers that a worker
 gives while ``turn_away_file`` exists.
 """
 
@@ -76,7 +76,8 @@
         seal = {**own, 'Server-Seal': f'{self.settings["id"]}.1'}
         if 'token-count' not in headers:
             await asyncio.sleep(self.settings['event_s'])
-            writer.write(wire.answer(200, seal, b'done'))
+            body = b'x' * self.settings.get('answer_bytes', 4)
+            writer.write(wire.answer(200, seal, body))
             await writer.drain()
             return
         await self.stream(request, seal, writer)
