--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -5,8 +5,9 @@
 
 Settings: ``id``, ``service``, ``address``, ``zone``, ``version``, ``slots``, ``store``, ``log``,
 ``events`` (most events of a stream), ``event_s`` (time between events), ``stride`` (tokens of an
-event), ``answer_bytes`` (of an answer that is no stream).  ``turn_away`` (0 or more seconds, a list): the Retry-After of the answers that a worker
-gives while ``turn_away_file`` exists.
+event), ``answer_bytes`` (of an answer that is no stream), ``failing`` (which of five such requests
+fail once they have run) and ``failure`` (with which status).  ``turn_away`` (a list of seconds):
+the Retry-After of the answers that a worker gives while ``turn_away_file`` exists.
 """
 
 import asyncio
@@ -28,6 +29,7 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.turned_away = 0
+        self.plain = 0
 
     def note(self, **fields: object) -> None:
         self.log.write(json.dumps({'t': time.time(), 'worker': self.settings['id'], **fields}))
@@ -76,6 +78,11 @@
         seal = {**own, 'Server-Seal': f'{self.settings["id"]}.1'}
         if 'token-count' not in headers:
             await asyncio.sleep(self.settings['event_s'])
+            self.plain += 1
+            if self.plain % 5 in self.settings.get('failing', ()):
+                writer.write(wire.answer(self.settings['failure'], seal, b'failed'))
+                await writer.drain()
+                return
             body = b'x' * self.settings.get('answer_bytes', 4)
             writer.write(wire.answer(200, seal, body))
             await writer.drain()
