--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -1,6 +1,6 @@
 """A stand-in for a worker, from PROTOCOL.md. Argument: its settings as JSON.
 
-It registers in the store, writes there every ``heartbeat_s``, and writes what it runs to ``log``, a
+It writes its entry in the store every ``heartbeat_s``, first after ``first_write_s``, and writes what it runs to ``log``, a
 file with one JSON line for each run and each event that it made.
 
 Settings: ``id``, ``service``, ``address``, ``zone``, ``version``, ``slots``, ``store``, ``log``,
@@ -36,6 +36,7 @@
         self.log.write('\n')
 
     async def register(self) -> None:
+        await asyncio.sleep(self.settings.get('first_write_s', 0))
         while True:
             self.sequence += 1
             entry = {name: self.settings[name] for name in ('service', 'address', 'zone')}
@@ -74,7 +75,7 @@
             writer.write(wire.answer(503, {**own, **extra}))
             await writer.drain()
             return
-        self.note(ran=own['Attempt-Id'], tenant=headers.get('tenant', ''))
+        self.note(ran=own['Attempt-Id'], version=self.settings['version'])
         seal = {**own, 'Server-Seal': f'{self.settings["id"]}.1'}
         if 'token-count' not in headers:
             await asyncio.sleep(self.settings['event_s'])
