--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -233,6 +233,8 @@
     """Play a case and exit: 0 if ``play`` returns that the rule held, 1 if not, 2 otherwise."""
     one = Fleet(case)
     status = 2
+    # The processes end with the script, also if it is ended early.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(status))
     try:
         held = asyncio.run(asyncio.wait_for(play(one), MOST_S))
         one.note('the rule held' if held else f'{rule} is broken')
