--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
@@ -130,6 +131,8 @@
         self.net = f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
         self.store = self.address()
         self.control: list[str] = []
+        self.bounds: dict[str, object] = {}
+        self.contracts = CONTRACTS
 
     def address(self, host: int = 1) -> str:
         """Return a free address."""
@@ -177,8 +180,10 @@
         text = SETTINGS.format(
             name=f'{role}-{number}', role=role, ip=ip, port=port, last_port=port + 15,
             machine_class='edge' if role == 'router' else 'side', store=self.store,
-            seeds=json.dumps(self.control[:3]), contracts=json.dumps(CONTRACTS), **ports,
+            seeds=json.dumps(self.control[:3]), contracts=json.dumps(self.contracts), **ports,
         )  # fmt: skip
+        for name, bound in self.bounds.items():
+            text = re.sub(rf'(?m)^{name} = .*$', f'{name} = {json.dumps(bound)}', text)
         path = self.folder / f'{role}-{number}.toml'
         path.write_text(text)
         node = self.start(f'{role}-{number}', COMMANDS[role], {'ENDIVESADDLE_NODE_FILE': str(path)})
