Play servers and callers at random against the promises to callers

Cause: what a server may send was tested behaviour by behaviour, each written after it had been reported. Change: random_exchanges.py draws status, header of a refusal, seal, ids, framing, cuts, times and closes for each request by seed, against all kinds of request with deadlines at any point; what a server states completely and without contradiction is true. refusal_proofs.feature plays 16 seeds, tools/fuzz_promises.py as many as are wanted.

--- a/features/refusal_proofs.feature
+++ b/features/refusal_proofs.feature
@@ -63,6 +63,18 @@
       | safe      | ran, answers 200 with the header of a refusal        |
       | resumable | ran, answers 503 with the header of a refusal and the seal |
 
+  Scenario Outline: A success that names two requests answers none of them (<kind>)
+    The last id alone was read, and a caller got the answer to another request.
+    Given two servers, of which the first to get a request answers 200 to two requests with the body of the other
+    When a caller sends one <kind> request, while retries are left and when they are used up
+    Then nothing that ran is told as not run, and nothing comes in parts
+
+    Examples:
+      | kind     |
+      | unsafe   |
+      | safe     |
+      | streamed |
+
   Scenario: What a server refuses truthfully is sent to another server
     Given two servers, of which the first to get a request refuses truthfully
     When a caller sends one streamed request, while retries are left and when they are used up
@@ -79,3 +91,18 @@
       | behaviour                                            |
       | repeats each truthful refusal before the next answer |
       | repeats each truthful refusal on the idle connection |
+
+  Scenario Outline: Whatever servers send, no promise is broken (seeds from <first>)
+    Servers of which most behave at random: statuses, ids, framing, times, closes; all kinds of request, several
+    at once, with deadlines and callers that leave at any time.  tools/fuzz_promises.py plays more seeds.
+    Given servers that behave at random, for 4 seeds from <first>
+    When callers send requests of all kinds
+    Then no promise to a caller is broken
+    And at least a quarter of the requests was played at random
+
+    Examples:
+      | first |
+      | 8     |
+      | 100   |
+      | 200   |
+      | 300   |
--- a/features/steps/refusal_proofs_steps.py
+++ b/features/steps/refusal_proofs_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from subjects.random_exchanges import RandomPlays
 from subjects.refusal_proofs import ProofPlay, Sent, behaving, first_alone, requests
 
 COUNTS = MappingProxyType({'two': 2, 'three': 3, 'four': 4})
@@ -72,3 +73,28 @@
     """Check that the play had what it is about."""
     found = context.plays[0].truthful_refusals()
     assert found >= count, found
+
+
+@given('servers that behave at random, for {count:d} seeds from {first:d}')
+def random_servers(context: Any, count: int, first: int) -> None:
+    """Prepare the plays of some seeds."""
+    context.random_plays = RandomPlays(range(first, first + count))
+
+
+@when('callers send requests of all kinds')
+def play_random(context: Any) -> None:
+    """Play all seeds."""
+    context.random_plays.play()
+
+
+@then('no promise to a caller is broken')
+def none_broken(context: Any) -> None:
+    """Print and fail on each broken promise, with its seed and what the servers did."""
+    assert not context.random_plays.broken, '\n'.join(context.random_plays.broken)
+
+
+@then('at least a quarter of the requests was played at random')
+def played(context: Any) -> None:
+    """Check that the servers got requests enough."""
+    plays = context.random_plays
+    assert 4 * plays.odd >= plays.requests, (plays.odd, plays.requests)
--- a/features/subjects/refusal_behaviours.py
+++ b/features/subjects/refusal_behaviours.py
@@ -268,3 +268,11 @@
     await _run(exchange)
     exchange.server.leave_alone()
     exchange.channel.close()
+
+
+@behaviours.add('answers 200 to two requests with the body of the other')
+async def success_two_ids(exchange: Exchange) -> None:
+    """Run the request, and send a success that names another one and it."""
+    await _run(exchange)
+    body = events(EARLIER, 0, EVENTS) if exchange.streamed else b'for another'
+    exchange.send(Reply(200, (EARLIER, exchange.request_id), body, sealed=True))
--- a/features/subjects/scripted_servers.py
+++ b/features/subjects/scripted_servers.py
@@ -6,6 +6,8 @@
 import struct
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
+from random import Random
 from typing import NamedTuple
 
 from anyio import lowlevel
@@ -80,6 +82,7 @@
         self.sent: defaultdict[str, set[bytes]] = defaultdict(set)
         self.received: Counter[str] = Counter()
         self.refused: set[str] = set()
+        self.odd = 0
         self.notes: defaultdict[str, list[str]] = defaultdict(list)
 
 
@@ -99,6 +102,7 @@
         self.writer = writer
         self.ids: list[str] = []
         self.replies: list[Reply] = []
+        self.half_closed = False
 
     def close(self) -> None:
         """Close the connection in order."""
@@ -106,10 +110,19 @@
 
     def reset(self) -> None:
         """Reset the connection."""
+        if self.writer.is_closing():
+            return
         raw = self.writer.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_ONCE)
         self.writer.transport.abort()
 
+    def half_close(self) -> None:
+        """Send no more; what is received is still read."""
+        if not self.writer.is_closing():
+            self.half_closed = True
+            with suppress(OSError):
+                self.writer.write_eof()
+
     async def flush(self) -> None:
         """Give the peer the turns in which it reads what was written."""
         for _ in range(20):
@@ -186,7 +199,11 @@
 
 
 class ScriptedServer:
-    """One server; ``script`` plays each request that it gets."""
+    """One server; ``script`` plays each request that it gets.
+
+    It closes connections at once but for a share ``accepts`` of them, and refuses all others after
+    ``refuses_after`` requests unless that is 0.
+    """
 
     def __init__(self, name: str, ledger: Ledger, script: Script = sound) -> None:
         """Initialize without a listener."""
@@ -195,6 +212,9 @@
         self.address = ''
         self.script = script
         self.received = 0
+        self.accepts = 1.0
+        self.refuses_after = 0
+        self.draw = Random(name)
         self.others: Sequence[ScriptedServer] = ()
         self._serving: set[asyncio.Task[None]] = set()
         self._listener: asyncio.Server | None = None
@@ -228,18 +248,32 @@
         self._serving.add(task)
         channel = Channel(reader, writer)
         try:
+            if self.draw.random() >= self.accepts:
+                self._turn_away(channel)
+                return
             await self._serve(channel)
         except (asyncio.IncompleteReadError, ConnectionError):
-            channel.close()
+            pass
         finally:
+            channel.close()
             self._serving.discard(task)
 
+    def _turn_away(self, channel: Channel) -> None:
+        end = self.draw.choice((channel.close, channel.reset))
+        end()
+
     async def _serve(self, channel: Channel) -> None:
         while True:
             head = await channel.reader.readuntil(b'\r\n\r\n')
             exchange = Exchange(self, channel, head)
             self.received += 1
+            if self.received == self.refuses_after:
+                self.refuse_connections()
             self.ledger.received[exchange.request_id] += 1
+            if channel.half_closed:
+                await exchange.read()
+                exchange.begin()
+                continue
             await self.script(exchange)
             await exchange.read()
             channel.ids.append(exchange.request_id)
