--- a/features/subjects/refusal_behaviours.py
+++ b/features/subjects/refusal_behaviours.py
@@ -239,14 +239,16 @@
 
 @behaviours.add('repeats each truthful refusal before the next answer')
 async def repeats_refusals(exchange: Exchange) -> None:
-    """Refuse the first of two requests of a connection, and repeat that before the answer."""
+    """Refuse every second request, and repeat each refusal before the next answer."""
     await exchange.read()
-    if not exchange.number % 2:
+    replies = exchange.channel.replies
+    if replies and replies[-1].refused:
+        exchange.channel.writer.write(replies[-1].encoded())
+        await exchange.channel.flush()
+    if exchange.server.received % 2:
         exchange.send(exchange.refusal())
         return
     exchange.begin()
-    exchange.send(exchange.channel.replies[-1])
-    await exchange.channel.flush()
     exchange.send(exchange.answer())
 
 
--- a/features/subjects/refusal_proofs.py
+++ b/features/subjects/refusal_proofs.py
@@ -61,7 +61,7 @@
 class Sent(NamedTuple):
     """A request of a caller: its kind of route with the attempts allowed, and its deadline.
 
-    ``leaves_s`` is when the caller leaves, 0 if it waits.
+    ``leaves_s`` is when the caller leaves, 0 if it waits; ``pause_s`` how long it waits before.
     """
 
     request_id: str
@@ -70,6 +70,7 @@
     deadline_ms: int = TIMEOUT_MS
     body_bytes: int = 10
     leaves_s: float = 0.0
+    pause_s: float = 0.0
 
 
 class Told(NamedTuple):
@@ -187,6 +188,7 @@
     async def _call(self, client: httpx.AsyncClient, requests: Sequence[Sent]) -> None:
         for sent in requests:
             told = Told(sent)
+            await anyio.sleep(sent.pause_s)
             with anyio.move_on_after(sent.leaves_s or GUARD_S):
                 told = await _told(client, sent)
             self.told.append(told)
@@ -223,9 +225,9 @@
     return ProofPlay(servers, ledger, routers)
 
 
-def requests(kind: str, count: int, callers: int, attempts: int = 1) -> list[list[Sent]]:
-    """Return requests of one kind, dealt out to callers."""
-    sent = [Sent(f'{kind}-{number}', kind, attempts) for number in range(count)]
+def requests(kind: str, count: int, callers: int, pause_s: float = 0) -> list[list[Sent]]:
+    """Return requests of one kind with one attempt each, dealt out to callers that pause."""
+    sent = [Sent(f'{kind}-{number}', kind, pause_s=pause_s) for number in range(count)]
     return [sent[start::callers] for start in range(callers)]
 
 
