Let servers come and go, and the router stop, in the random plays

Cause: the random plays had one list of servers from the begin to the end, POST alone, and 12 truthful refusals of 512 requests: attempts that are not sent, and what follows a true refusal, hardly occurred. Change: servers leave, vanish and come again under a new lifetime, the router refuses requests for a while, callers pause and use HEAD, GET and PUT, and a quarter of the odd responses are truthful refusals (44 of 512 requests).

--- a/features/subjects/random_exchanges.py
+++ b/features/subjects/random_exchanges.py
@@ -5,13 +5,15 @@
 the truth; all else that it says may be false.
 """
 
+import itertools
 from collections.abc import Iterable, Sequence
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
 import anyio
 
-from subjects.refusal_proofs import KINDS, MOST_ATTEMPTS, ProofPlay, Sent
+from subjects.refusal_proofs import KINDS, MOST_ATTEMPTS, ProofPlay, Router, Sent
 from subjects.scripted_servers import (
     BY_CHUNKS,
     BY_CLOSE,
@@ -35,14 +37,20 @@
 WHOLE = 'whole'
 IN_HEAD = 'in the head'
 IN_BODY = 'in the body'
+METHODS = ('POST', 'POST', 'POST', 'POST', 'GET', 'PUT', 'HEAD')
 CUTS = (WHOLE, WHOLE, WHOLE, WHOLE, IN_HEAD, IN_BODY)
 CLOSE = 'close'
 RESET = 'reset'
 HALF_CLOSE = 'half-close'
 KEEP = 'keep'
+LEAVES = 'leaves'
+VANISHES = 'vanishes'
+RESTARTS = 'restarts'
+STOPS = 'stops'
 ENDS = (KEEP, KEEP, KEEP, KEEP, CLOSE, RESET, HALF_CLOSE)
 MAX_DELAY_S = 0.03
 LATE_S = 0.2
+MAX_PAUSE_S = 0.06
 INTERIM = (100, 102, 103)
 LARGE_BODY_BYTES = 300_000
 ALL_SERVERS = 10
@@ -51,6 +59,8 @@
 EACH_CALLS = 8
 LEAVING_PERCENT = 6
 PERCENT = 100
+TRUTHFUL_PERCENT = 25
+REFUSALS = (503, 503, 429, 421, 408, 400)
 ROUNDS = 3
 
 
@@ -131,6 +141,8 @@
 
 def _reply(draw: Random, exchange: Exchange) -> Reply:
     """Draw a response: what it says of the request, and how it is framed."""
+    if _chance(draw, TRUTHFUL_PERCENT):
+        return exchange.refusal(draw.choice(REFUSALS))
     ids = _ids(draw, exchange)
     status = draw.choice(STATUSES)
     own = ids[0] if ids and ids[0] else 'nobody'
@@ -253,7 +265,31 @@
         server.accepts = draw.choice((1.0, 1.0, 0.9, 0.5))
         server.refuses_after = draw.choice((0, 0, 0, draw.randint(1, 20)))
         server.draw = Random(f'{seed}/{server.name}')
-    return ProofPlay(servers, ledger, draw.choice((2, 2, 5, 1000)))
+    play = ProofPlay(servers, ledger, draw.choice((2, 2, 5, 1000)))
+    play.change = partial(_change, Random(f'{seed}/changes'), servers)
+    return play
+
+
+async def _change(draw: Random, servers: Sequence[ScriptedServer], router: Router) -> None:
+    """Let servers leave, vanish and come again, and the router refuse requests for a while."""
+    lifetimes = [server.name for server in servers]
+    for count in itertools.count():
+        await anyio.sleep(draw.uniform(0, MAX_PAUSE_S))
+        number = draw.randrange(len(servers))
+        server = servers[number]
+        event = draw.choice((LEAVES, VANISHES, RESTARTS, RESTARTS, RESTARTS, STOPS))
+        if event == LEAVES:
+            router.declare_server(server, lifetimes[number], leaving=True)
+        elif event == VANISHES:
+            router.remove_server(lifetimes[number])
+        elif event == RESTARTS:
+            router.remove_server(lifetimes[number])
+            lifetimes[number] = f'{server.name}-{count}'
+            router.declare_server(server, lifetimes[number])
+        else:
+            router.refuse(stopping=True)
+            await anyio.sleep(draw.uniform(0, MAX_DELAY_S))
+            router.refuse(stopping=False)
 
 
 def random_requests(seed: str) -> Sequence[Sequence[Sent]]:
@@ -271,4 +307,6 @@
         draw.choice((1, draw.randint(1, 60), draw.randint(1, 300), 2000, 2000)),
         draw.choice((0, 10, 10, LARGE_BODY_BYTES)),
         draw.uniform(0.001, 0.1) if _chance(draw, LEAVING_PERCENT) else 0.0,
+        draw.choice((0, 0, 0, draw.uniform(0, LATE_S))),
+        draw.choice(METHODS),
     )
--- a/features/subjects/refusal_proofs.py
+++ b/features/subjects/refusal_proofs.py
@@ -1,7 +1,7 @@
 """Subject: a router on real sockets, between callers and servers that contradict themselves."""
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from types import MappingProxyType
 from typing import Any, NamedTuple
@@ -55,6 +55,7 @@
     }
 )
 MOST_ATTEMPTS = 3
+BODILESS = 'HEAD'
 REPEATABLE = frozenset(('safe', 'resumable'))
 
 
@@ -71,6 +72,7 @@
     body_bytes: int = 10
     leaves_s: float = 0.0
     pause_s: float = 0.0
+    method: str = 'POST'
 
 
 class Told(NamedTuple):
@@ -112,11 +114,22 @@
             Stopping(lambda: True),
         )
 
-    def declare_server(self, server: ScriptedServer) -> None:
-        """Name a server to the router."""
-        self._state.update_server(
-            RouteServer(server.name, 'a', server.address, 'one', SLOTS), 'test'
-        )
+    def declare_server(
+        self, server: ScriptedServer, lifetime: str = '', leaving: bool = False
+    ) -> None:
+        """Name a server to the router, as a ``lifetime`` of its own unless that is ''."""
+        name = lifetime or server.name
+        declared = RouteServer(name, 'a', server.address, 'one', SLOTS, leaving)
+        self._state.update_server(declared, 'test')
+
+    def remove_server(self, lifetime: str) -> None:
+        """Take a server away."""
+        self._state.remove_server(lifetime, 'test')
+        self.pool.drop(lifetime)
+
+    def refuse(self, stopping: bool) -> None:
+        """Refuse new requests, as a router does that stops, or accept them again."""
+        self._parts.stopping.refusing = stopping
 
     @asynccontextmanager
     async def serving(self) -> AsyncIterator[str]:
@@ -141,13 +154,17 @@
 
 
 class ProofPlay:
-    """Requests to a router before scripted servers, and the promises that were broken."""
+    """Requests to a router before scripted servers, and the promises that were broken.
+
+    ``change``, if any, is run beside the callers until they are done.
+    """
 
     def __init__(self, servers: Sequence[ScriptedServer], ledger: Ledger, routers: int = 2) -> None:
         """Initialize with servers that don't listen yet."""
         self.servers = servers
         self.ledger = ledger
         self.told: list[Told] = []
+        self.change: Callable[[Router], Awaitable[None]] | None = None
         self._routers = routers
 
     def play(self, callers: Sequence[Sequence[Sent]]) -> None:
@@ -174,10 +191,19 @@
                 await each.start()
                 router.declare_server(each)
             async with router.serving() as url:
-                await self._call_all(url, callers)
+                await self._call_during_changes(router, url, callers)
             router.disconnect()
             await asyncio.gather(*(server.settle() for server in self.servers))
 
+    async def _call_during_changes(
+        self, router: Router, url: str, callers: Sequence[Sequence[Sent]]
+    ) -> None:
+        async with anyio.create_task_group() as group:
+            if self.change is not None:
+                group.start_soon(self.change, router)
+            await self._call_all(url, callers)
+            group.cancel_scope.cancel()
+
     async def _call_all(self, url: str, callers: Sequence[Sequence[Sent]]) -> None:
         limits = httpx.Limits(max_connections=None, keepalive_expiry=KEPT_S)
         async with httpx.AsyncClient(base_url=url, limits=limits, timeout=None) as client:
@@ -206,7 +232,8 @@
             found.append('ran twice')
     elif told.says_not_run and begun:
         found.append('told as not run')
-    if told.status in SUCCESSES and told.complete and not _whole(told, ledger):
+    whole = told.status in SUCCESSES and told.complete and sent.method != BODILESS
+    if whole and not _whole(told, ledger):
         found.append('not its whole answer')
     trace = '; '.join(ledger.notes[sent.request_id])
     return [
@@ -280,7 +307,7 @@
     url = f'/{sent.kind}/{sent.attempts}/x'
     content = b'x' * sent.body_bytes
     try:
-        async with client.stream('POST', url, headers=headers, content=content) as answer:
+        async with client.stream(sent.method, url, headers=headers, content=content) as answer:
             status = answer.status_code
             async for chunk in answer.aiter_raw():
                 chunks.append(chunk)
--- a/features/subjects/scripted_servers.py
+++ b/features/subjects/scripted_servers.py
@@ -144,6 +144,7 @@
         self.first_event = int(last_event.group(1)) + 1 if last_event else 0
         target = _TARGET.search(head)
         self.target = target.group(1).decode() if target else ''
+        self.bodiless = head.startswith(b'HEAD ')
         self.streamed = self.target.startswith(STREAMED_TARGETS)
         self.number = len(channel.ids)
         self.ledger = server.ledger
@@ -185,7 +186,7 @@
         if reply.states_not_run(self.request_id):
             self.ledger.refused.add(self.request_id)
         self.channel.replies.append(reply)
-        self.channel.writer.write(reply.encoded())
+        self.channel.writer.write(reply.head() if self.bodiless else reply.encoded())
 
 
 Script = Callable[[Exchange], Awaitable[None]]
