Tell in the log what a refusal of a forwarded request rests on

Cause: for a request that was told as not run and had run, the logs could not tell whether the router refused it before any sending, refused it after an attempt was counted back, or relayed a response of a server. Refusals of all kinds share one bound of lines, so the one that matters could be left out.

Change: no logic. 2714 forward_attempt_not_run names server, sending, status and headers that proved that an attempt did not run, and whether this attempt had been sent at all. 2715 forward_refused_after_sending, with the proof of each attempt, stands for 2705 where a request that was sent is told as not run; it has a bound of its own. 2716 forward_unproven_refusal is a warning at each response whose status promises "not run" without proof; told=relayed where it goes to the caller. 2705 has not_run. explain reads 2715 too.

--- a/features/bounded_log.feature
+++ b/features/bounded_log.feature
@@ -12,3 +12,9 @@
     A burst logs one event for each request.  Failures are told all the same.
     When 1000 lines of one event and 10 warnings are written within a second
     Then at most 410 lines are on the pipe, with all 10 warnings
+
+  Scenario: A flood of ordinary refusals
+    Failure: the line that explains why a request was told as not run after it was sent fell under
+    the bound of the lines on all other refusals.
+    When 1000 refusals are logged, and 10 after a sending, within a second
+    Then the lines of all 10 are on the pipe
--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -144,3 +144,17 @@
       | strays          |
       | strays_declined |
       | strays_moved    |
+
+  Scenario Outline: The log tells what a refusal rests on
+    Failure: of requests that were told as not run and had run, the log could not tell whether the
+    router refused them before any sending, after it, or relayed a server's response.
+    Given a unsafe route with 1 attempts, whose servers <servers>
+    When a request is forwarded
+    Then the log has <event> once, and of the others none
+    And the log names <proofs> as the proof of an attempt
+
+    Examples:
+      | servers     | event                         | proofs       |
+      | unreached   | forward_refused               | refused      |
+      | declines    | forward_refused_after_sending | the server declined |
+      | moved       | forward_refused_after_sending | another server has the address |
--- a/features/steps/bounded_log_steps.py
+++ b/features/steps/bounded_log_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from endivesaddle.fleet.routes import run_events
 from subjects.bounded_log import LogPipe
 
 MB = 1 << 20
@@ -55,3 +56,19 @@
     names = [line['name'] for line in context.pipe.read()]
     assert len(names) <= most, len(names)
     assert names.count('broken') == warnings, names.count('broken')
+
+
+@when('{count:d} refusals are logged, and {after:d} after a sending, within a second')
+def write_refusals(context: Any, count: int, after: int) -> None:
+    """Write both kinds."""
+    context.pipe = LogPipe()
+    context.add_cleanup(context.pipe.close)
+    for kind, lines in ((run_events.REFUSED, count), (run_events.REFUSED_AFTER_SENDING, after)):
+        context.pipe.write(lines, kind.name, kind.level)
+
+
+@then('the lines of all {count:d} are on the pipe')
+def all_written(context: Any, count: int) -> None:
+    """Count them."""
+    names = [line['name'] for line in context.pipe.read()]
+    assert names.count(run_events.REFUSED_AFTER_SENDING.name) == count, names
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -5,8 +5,12 @@
 from behave import given, then, when
 
 from subjects.forward_runs import ForwardRuns
+from subjects.logged_events import LoggedEvents
 
 SLACK_S = 0.1
+REFUSALS = frozenset(
+    ('forward_refused', 'forward_refused_after_sending', 'forward_unproven_refusal')
+)
 
 
 @given('a {kind} route with {attempts:d} attempts, whose servers {script}')
@@ -14,6 +18,8 @@
     """Start a router."""
     context.runs = ForwardRuns(kind, attempts, script.split(','))
     context.add_cleanup(context.runs.close)
+    context.log = LoggedEvents()
+    context.add_cleanup(context.log.close)
 
 
 @given('the service does not declare the tokens of an event')
@@ -141,3 +147,18 @@
 def unchanged_servers(context: Any, count: int) -> None:
     """Check what the router believes of the servers."""
     assert context.runs.unhindered_servers() == count, context.runs.unhindered_servers()
+
+
+@then('the log has {event} once, and of the others none')
+def logged_refusal(context: Any, event: str) -> None:
+    """Count the lines on refusals."""
+    names = context.log.names()
+    assert {name: names[name] for name in REFUSALS if names[name]} == {event: 1}, names
+
+
+@then('the log names {proof} as the proof of an attempt')
+def logged_proof(context: Any, proof: str) -> None:
+    """Look at the attempts that were counted as not run."""
+    fields = context.log.fields('forward_attempt_not_run')
+    assert fields, 'no attempt was counted as not run'
+    assert all(one['proof'] == proof for one in fields), fields
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from collections.abc import Sequence
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -24,6 +25,7 @@
     Sink,
     foreign_response,
 )
+from endivesaddle.fleet.routes.not_run_proofs import NotRunProof
 from endivesaddle.fleet.routes.progress import Progress
 from endivesaddle.fleet.routes.stream_resumption import StreamResumption
 from endivesaddle.fleet.routing.dispatcher import Dispatcher, Placement
@@ -72,9 +74,21 @@
     streams: StreamResumption
 
 
-async def refuse(request: ForwardRequest, sink: Sink, refusal: Refusal) -> None:
-    """Answer a request with an error of the router."""
-    events.REFUSED.log(request_id=request.request_id, code=refusal.code, reason=refusal.reason)
+async def refuse(
+    request_id: str, sink: Sink, refusal: Refusal, proofs: Sequence[NotRunProof] = ()
+) -> None:
+    """Answer a request with an error of the router; ``proofs`` are of its attempts."""
+    fields = {
+        'request_id': request_id,
+        'code': refusal.code,
+        'reason': refusal.reason,
+        'not_run': refusal.not_run,
+    }
+    if refusal.not_run == NOT_RUN and any(proof.sent for proof in proofs):
+        # Counted apart from the other refusals, of which the log may leave some out.
+        events.REFUSED_AFTER_SENDING.log(**fields, attempts=[one.logged() for one in proofs])
+    else:
+        events.REFUSED.log(**fields)
     await sink.refuse(refusal)
 
 
@@ -103,6 +117,7 @@
         self._sent_unix_s = 0.0
         self._retry_decision: RetryDecision | None = None
         self._unsent_retry: RetryDecision | None = None
+        self._proofs: list[NotRunProof] = []
 
     async def run(self) -> None:
         """Send the request until it is answered or can't be retried.
@@ -125,9 +140,7 @@
         run_state = (
             (RUN_UNKNOWN, GATEWAY_TIMEOUT) if self._progress.runs else (NOT_RUN, UNAVAILABLE)
         )
-        await refuse(
-            self.request, self._sink, Refusal('deadline', 'the deadline has passed', *run_state)
-        )
+        await self._refuse(Refusal('deadline', 'the deadline has passed', *run_state))
 
     async def _run(self) -> None:
         while True:
@@ -184,7 +197,7 @@
             self._caller.ended(server.lifetime, self._progress.events)
 
     def _handle_never_sent(self, placement: Placement, error: NeverSent) -> Outcome:
-        self._progress.record_not_run()
+        self._record_not_run(placement, str(error))
         if not isinstance(error, ServerLeft):
             placement.mark_unreachable(isinstance(error, ServerRefused))
         return self._log_failed(placement, Outcome.NOT_SENT, str(error))
@@ -273,14 +286,14 @@
                 placement, Outcome.LOST, 'the response belongs to another request'
             )
         if response.misdirected:
-            self._progress.record_not_run()
+            self._record_not_run(placement, 'another server has the address', response)
             placement.mark_misdirected()
             return self._log_failed(
                 placement, Outcome.DECLINED, 'the address belongs to another server'
             )
         placement.apply_signals(response)
         if response.declined:
-            self._progress.record_not_run()
+            self._record_not_run(placement, 'the server declined', response)
             placement.count_declined()
             return self._log_failed(placement, Outcome.DECLINED, f'declined with {response.status}')
         if response.encoded:
@@ -317,9 +330,12 @@
         complete = CompleteResponse(response.status, response.headers, body)
         if response.status >= FIRST_SERVER_ERROR:
             if self._progress.started or response.status in NOT_RUN_STATUSES:
+                self._log_unproven(placement, response, 'server_lost')
                 return self._log_failed(placement, Outcome.LOST, f'it answered {response.status}')
             self._fallback = complete
             return self._log_failed(placement, Outcome.FAILED, f'it answered {response.status}')
+        if response.status in NOT_RUN_STATUSES:
+            self._log_unproven(placement, response, 'relayed')
         await self._reply(complete)
         self._log_answered(placement, complete.status)
         return Outcome.DONE
@@ -376,13 +392,38 @@
             await self._reply(self._fallback)
         elif self._progress.runs:
             run_state = HAS_RUN if self._progress.events else RUN_UNKNOWN
-            await refuse(
-                self.request,
-                self._sink,
-                Refusal('server_lost', refusal.reason, run_state, BAD_GATEWAY),
-            )
+            await self._refuse(Refusal('server_lost', refusal.reason, run_state, BAD_GATEWAY))
         else:
-            await refuse(self.request, self._sink, refusal)
+            await self._refuse(refusal)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        await refuse(self.request.request_id, self._sink, refusal, self._proofs)
+
+    def _record_not_run(
+        self, placement: Placement, proof: str, response: ServerResponse | None = None
+    ) -> None:
+        sent = self._caller.stage is Stage.SENT
+        recorded = NotRunProof(placement.backend.server.lifetime, len(self._tried), sent, proof)
+        if response is not None:
+            recorded = recorded._replace(
+                status=response.status, declined=response.declined, sealed=response.sealed
+            )
+        self._proofs.append(recorded)
+        events.ATTEMPT_NOT_RUN.log(
+            request_id=self.request.request_id, **recorded.logged(), runs=self._progress.runs
+        )
+        self._progress.record_not_run()
+
+    def _log_unproven(self, placement: Placement, response: ServerResponse, told: str) -> None:
+        events.UNPROVEN_REFUSAL.log(
+            request_id=self.request.request_id,
+            server=placement.backend.server.lifetime,
+            sending=len(self._tried),
+            status=response.status,
+            declined=response.declined,
+            sealed=response.sealed,
+            told=told,
+        )
 
     def _log_broken(self, reason: str) -> None:
         # The caller already has the head.  The connection is closed before the end of the body,
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -36,3 +36,21 @@
     'forward_ended_after_gone',
     'a request whose caller is gone is closed at its server',
 )
+ATTEMPT_NOT_RUN = event(
+    2714,
+    'INFO',
+    'forward_attempt_not_run',
+    'an attempt is counted as not run; what proved that, and whether this attempt was sent',
+)
+REFUSED_AFTER_SENDING = event(
+    2715,
+    'INFO',
+    'forward_refused_after_sending',
+    'the router answers a request that it has sent as not run; the proof of each attempt',
+)
+UNPROVEN_REFUSAL = event(
+    2716,
+    'WARNING',
+    'forward_unproven_refusal',
+    'a server answered with a status that means "not run", but has not proved that',
+)
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -48,13 +48,13 @@
         caller = caller or self.departures.caller(request.request_id)
         refusal = self.parts.dispatcher.check_held_back(request)
         if refusal is not None:
-            await refuse(request, sink, refusal)
+            await refuse(request.request_id, sink, refusal)
             return
         if request.takes_up:
             caller.stage = Stage.RESUMING
             taken_up = await self.streams.take_up(request)
             if isinstance(taken_up, Refusal):
-                await refuse(request, sink, taken_up)
+                await refuse(request.request_id, sink, taken_up)
                 return
             request = taken_up
         reservation: Reservation | Refusal = Reservation(None, 0)
@@ -64,7 +64,7 @@
                 request.account, request.cost_tokens, request.request_id, request.end_unix_s
             )
         if isinstance(reservation, Refusal):
-            await refuse(request, sink, reservation)
+            await refuse(request.request_id, sink, reservation)
             return
         progress = Progress(request, self.parts.dispatcher.event_tokens(request))
         try:
--- a/packages/operators/src/endivesaddle/operators/local/explain.py
+++ b/packages/operators/src/endivesaddle/operators/local/explain.py
@@ -37,6 +37,7 @@
         'forward_broken': 'an answer cut midway:',
         'forward_caller_gone': 'nothing, it left',
         'forward_refused': 'a refusal:',
+        'forward_refused_after_sending': 'a refusal:',
     }
 )
 """What the caller got, by the event that tells; the first that is there counts."""
