Show that a request is told as not run on no proof, and its run taken back

What callers saw: a request that ran was told as not run (408, 421, 429, 503), so that its caller sent it again, or the router itself sent it to a second server; its account was billed nothing.

Cause: not mended here. Statuses below 500 are relayed whatever they promise; a refusal is believed whatever else the response says; one counter is counted up and down for all attempts, so that a refused connection takes back the run before it. Found beside it: a status below 500 is sent as a second head into a stream that has begun.

The scripted refusals of servers have no seal now, and 421 has the header of a refusal, as the platform's pages have them: the seal is the receipt of a run.

--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -158,3 +158,79 @@
       | unreached   | forward_refused               | refused      |
       | declines    | forward_refused_after_sending | the server declined |
       | moved       | forward_refused_after_sending | another server has the address |
+
+  Scenario Outline: A status that says that a request did not run needs proof
+    Failure: a server's own 429 or 408, given after it had run the request, was relayed, and its
+    statements were believed in part where they contradicted each other.  Callers sent the
+    request again, and it ran twice.
+    Given a <kind> route with 2 attempts, whose servers <servers>,answers
+    When a request is forwarded
+    Then the caller got 502
+    And the request ran 1 times
+    And it was sent 1 times
+    And the account spent 1000 tokens
+    And the log has forward_unproven_refusal once
+
+    Examples:
+      | kind     | servers            |
+      | unsafe   | limited            |
+      | unsafe   | late               |
+      | unsafe   | promises           |
+      | unsafe   | relocated          |
+      | unsafe   | relocated_unsealed |
+      | unsafe   | declined_sealed    |
+      | unsafe   | declined_success   |
+      | unsafe   | declined_unnamed   |
+      | streamed | limited            |
+      | streamed | declined_success   |
+
+  Scenario Outline: A request that may be repeated is sent again after an unproven refusal
+    Given a safe route with 2 attempts, whose servers <servers>,answers
+    When a request is forwarded
+    Then the caller got 200
+    And the request ran 2 times
+
+    Examples:
+      | servers            |
+      | limited            |
+      | late               |
+      | relocated_unsealed |
+      | declined_sealed    |
+
+  Scenario Outline: An attempt that ran is not taken back by a later one that did not
+    Failure: the attempt that was counted last was taken back, whichever had failed.  A request that
+    ran was told as not run, its account was billed nothing, and it was sent more often than
+    allowed.
+    Given a <kind> route with <attempts> attempts, whose servers <servers>
+    When a request is forwarded
+    Then the request ran <ran> times
+    And the account spent <spent> tokens
+    And the caller is not told that it did not run
+
+    Examples:
+      | kind      | attempts | servers                | ran | spent |
+      | safe      | 2        | lost,unreached         | 1   | 1000  |
+      | safe      | 2        | lost,declines,unreached | 1  | 1000  |
+      | safe      | 2        | strays,unreached       | 1   | 1000  |
+      | resumable | 2        | breaks,unreached       | 1   | 1010  |
+      | safe      | 2        | lost,unreached,answers | 2   | 1000  |
+
+  Scenario Outline: A stream that has begun, and a server that answers its rest with an error
+    Failure: the error was sent as a second head into the stream that the caller read, if its status
+    was below 500.
+    Given a resumable route with 2 attempts, whose servers breaks,<servers>
+    When a request is forwarded
+    Then the caller got the events up to 1, each once
+    And the answer was truncated
+
+    Examples:
+      | servers |
+      | invalid |
+      | limited |
+      | fails   |
+
+  Scenario: Whatever servers do, in any order
+    Every order of up to three behaviours of servers, on each kind of route.  A caller is told "not
+    run" only if no server ran its request, no request runs more often than its route allows, and
+    its account pays for a run.
+    Then all orders of behaviours keep the promise "not run"
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -4,10 +4,12 @@
 
 from behave import given, then, when
 
-from subjects.forward_runs import ForwardRuns
+from subjects.forward_runs import PROMISES, ForwardRuns
 from subjects.logged_events import LoggedEvents
+from subjects.promise_orders import broken_promises
 
 SLACK_S = 0.1
+MIN_ORDERS = 2800
 REFUSALS = frozenset(
     ('forward_refused', 'forward_refused_after_sending', 'forward_unproven_refusal')
 )
@@ -162,3 +164,25 @@
     fields = context.log.fields('forward_attempt_not_run')
     assert fields, 'no attempt was counted as not run'
     assert all(one['proof'] == proof for one in fields), fields
+
+
+@then('the log has {event} once')
+def logged_once(context: Any, event: str) -> None:
+    """Count the lines."""
+    assert context.log.names()[event] == 1, context.log.names()
+
+
+@then('the caller is not told that it did not run')
+def not_promised(context: Any) -> None:
+    """Check the status and the error."""
+    sink = context.runs.sink
+    assert sink.status not in PROMISES, sink.status
+    assert sink.refusal is None or sink.refusal.not_run != 'true', sink.refusal
+
+
+@then('all orders of behaviours keep the promise "not run"')
+def orders(context: Any) -> None:
+    """Play each order."""
+    played, broken = broken_promises()
+    assert played > MIN_ORDERS, played
+    assert not broken, f'{len(broken)} of {played}: {broken[:5]}'
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -53,6 +53,10 @@
     }
 )
 SEAL = (('seal', 'server'),)
+NOT_RUN_THERE = frozenset(('declines', 'moved', 'unreached', 'closed'))
+"""Behaviours that don't run the request."""
+PROMISES = frozenset((408, 421, 429, 503))
+"""Statuses by which a caller is told that its request did not run."""
 
 
 class ScriptedAnswer:
@@ -106,6 +110,68 @@
     return ScriptedAnswer(call, status=503)
 
 
+def limited(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer with the 429 that its own database gave."""
+    return ScriptedAnswer(call, status=429)
+
+
+def invalid(call: ServerCall) -> ScriptedAnswer:
+    """Answer that the request is invalid."""
+    return ScriptedAnswer(call, status=400)
+
+
+def late(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer that it took too long."""
+    return ScriptedAnswer(call, status=408)
+
+
+def relocated(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer with a status that a server at a taken address has."""
+    answer = ScriptedAnswer(call, status=421)
+    answer.misdirected = True
+    return answer
+
+
+def relocated_unsealed(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer like ``relocated`` without a seal."""
+    answer = relocated(call)
+    answer.sealed = False
+    return answer
+
+
+def declined_sealed(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer with both a refusal and the seal of a run."""
+    answer = declines(call)
+    answer.sealed = True
+    return answer
+
+
+def declined_success(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer with both a success and the header of a refusal."""
+    answer = ScriptedAnswer(call)
+    answer.declined = True
+    return answer
+
+
+def declined_failure(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer with both a failure and the header of a refusal."""
+    answer = ScriptedAnswer(call, status=504)
+    answer.declined = True
+    return answer
+
+
+def declined_unnamed(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer with a refusal that names no request."""
+    answer = declines(call)
+    answer.answered_id = ''
+    return answer
+
+
+def closed(call: ServerCall) -> ScriptedAnswer:
+    """Close the connection before the request is written."""
+    raise NeverSent('the connection closed')
+
+
 def breaks(call: ServerCall) -> ScriptedAnswer:
     """Break off after two events, or within a body."""
     return ScriptedAnswer(call, breaks_after=2)
@@ -114,13 +180,15 @@
 def declines(call: ServerCall) -> ScriptedAnswer:
     """Decline the request as not run."""
     answer = ScriptedAnswer(call, status=503)
+    answer.sealed = False
     answer.declined = True
     return answer
 
 
 def moved(call: ServerCall) -> ScriptedAnswer:
     """Answer as another server at the same address."""
-    answer = ScriptedAnswer(call, status=421)
+    answer = declines(call)
+    answer.status = 421
     answer.misdirected = True
     return answer
 
@@ -171,6 +239,16 @@
             answers,
             fails,
             promises,
+            limited,
+            late,
+            invalid,
+            relocated,
+            relocated_unsealed,
+            declined_sealed,
+            declined_success,
+            declined_failure,
+            declined_unnamed,
+            closed,
             breaks,
             declines,
             moved,
@@ -208,7 +286,7 @@
         await anyio.sleep(0.001)
         if name != 'unreached':
             record_sent(call)
-        if name not in {'declines', 'moved', 'unreached'}:
+        if name not in NOT_RUN_THERE:
             self.ran += 1
         if name == 'hangs':
             await anyio.sleep_forever()
--- a/features/subjects/waiting_fleet.py
+++ b/features/subjects/waiting_fleet.py
@@ -63,6 +63,7 @@
         answer.signals = self.signals
         if self.accepted >= self._places:
             answer.declined = True
+            answer.sealed = False
             answer.status = 503
             yield answer
             return
