Send no second head into a stream that has begun

What callers saw: a stream broke off, the server that was to send its rest answered with a status below 500, and this was written behind the events as a second head; the listener fails on that, and the connection closes.

Cause: only statuses of 500 and above were held back once a stream had begun.

Change: whatever the status, such a response is a failed attempt: the stream goes on at another server, or is broken off.

--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -328,8 +328,11 @@
     async def _relay_complete(self, placement: Placement, response: ServerResponse) -> Outcome:
         body = await response.whole()
         complete = CompleteResponse(response.status, response.headers, body)
+        if self._progress.started:
+            # The caller is reading a stream, into which no second head can be sent.
+            return self._log_failed(placement, Outcome.LOST, f'it answered {response.status}')
         if response.status >= FIRST_SERVER_ERROR:
-            if self._progress.started or response.status in NOT_RUN_STATUSES:
+            if response.status in NOT_RUN_STATUSES:
                 self._log_unproven(placement, response, 'server_lost')
                 return self._log_failed(placement, Outcome.LOST, f'it answered {response.status}')
             self._fallback = complete
