Treat an impossible address of an instance as one that nobody listens at

Cause: a client of other instances raised what the library or the interpreter raises (OverflowError for port 70000, ValueError without a port, UnicodeError for a host that no name can have), which no caller expects. The draws of tokens run bare, so the process ended; the exchange with other routers and the calls to the store through sidecars were started anew each second until then. Connections to backend servers raised the same errors. Change: an entry of an instance names "host:port" with a port of 1 to 65535, or is unreadable. Calls to other instances raise PeerUnreachable, connections to backend servers NeverSent, whatever the address.

--- /dev/null
+++ b/features/odd_values.feature
@@ -0,0 +1,23 @@
+Feature: Odd values of other writers
+  A value that can be decoded and makes no sense costs itself: an impossible address, a number that
+  no message carries, a name that no header carries.  The other values hold.
+
+  Scenario Outline: No odd entry ends a router or stops its lists
+    Failure: one instance whose address was no address ended all router processes again and again.
+    When two router processes run beside odd <entries>, and a server enters later
+    Then both run, no background task failed, and 10 requests reach that server
+
+    Examples:
+      | entries   |
+      | servers   |
+      | instances |
+
+  Scenario Outline: An impossible address fails like one that nobody listens at
+    Failure: a port out of range raises OverflowError, a bad host UnicodeError, which no caller expects.
+    When <client> connects to each impossible address
+    Then each attempt ends with one of: <errors>
+
+    Examples:
+      | client                        | errors                   |
+      | the client of other instances | PeerUnreachable          |
+      | the client of backend servers | NeverSent, ServerRefused |
--- /dev/null
+++ b/features/steps/odd_values_steps.py
@@ -0,0 +1,42 @@
+"""Steps of odd_values.feature."""
+
+from collections import Counter
+from typing import Any
+
+from behave import then, when
+
+from subjects import odd_addresses
+from subjects.odd_processes import LATER, OddEntries
+
+REQUESTS = 10
+
+
+@when('two router processes run beside odd {entries}, and a server enters later')
+def run_beside(context: Any, entries: str) -> None:
+    """Run them beside all odd entries of one kind."""
+    context.odd = OddEntries()
+    context.odd.play(entries, REQUESTS)
+
+
+@then('both run, no background task failed, and {requests:d} requests reach that server')
+def both_run(context: Any, requests: int) -> None:
+    """Check the processes, their logs and the requests."""
+    odd = context.odd
+    assert not odd.ended, odd.ended
+    assert not odd.failed_tasks, odd.failed_tasks[0]
+    assert Counter(odd.statuses) == {200: requests}, odd.statuses
+    assert Counter(odd.reached) == {LATER: requests}, odd.reached
+
+
+@when('{client} connects to each impossible address')
+def connect_each(context: Any, client: str) -> None:
+    """Connect to one after the other."""
+    context.outcomes = odd_addresses.outcomes(client)
+
+
+@then('each attempt ends with one of: {errors}')
+def ends_with(context: Any, errors: str) -> None:
+    """Check the errors."""
+    allowed = set(errors.split(', '))
+    others = {name: kind for name, kind in context.outcomes.items() if kind not in allowed}
+    assert not others, others
--- a/features/subjects/signalled_programs.py
+++ b/features/subjects/signalled_programs.py
@@ -140,9 +140,11 @@
         client: httpx.AsyncClient,
         store_url: str,
         folder: pathlib.Path,
+        memory: MemoryStore,
     ) -> None:
         """Write the settings files of the programs to ``folder``."""
         self.client = client
+        self.memory = memory
         self._launcher = launcher
         self._store_address = store_url.removeprefix('http://')
         self._folder = folder
@@ -196,7 +198,7 @@
             entry = {**ENTRY, 'service': service, 'address': url.removeprefix('http://')}
             memory.put(f'servers/{service}', msgspec.json.encode(entry))
         with tempfile.TemporaryDirectory() as folder:
-            yield Platform(launcher, client, store_url, pathlib.Path(folder))
+            yield Platform(launcher, client, store_url, pathlib.Path(folder), memory)
 
 
 async def _work(scope: Any, receive: Any, send: Any) -> None:
--- a/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
@@ -264,7 +264,8 @@
             )
     except ConnectionRefusedError as error:
         raise ServerRefused(f'{address} refuses connections') from error
-    except OSError as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # An address without a port, with one out of range or with an impossible host included.
         raise NeverSent(f'{type(error).__name__} {error}'.strip()) from error
     return connection
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/instance_directory.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/instance_directory.py
@@ -1,7 +1,7 @@
 """The other instances: each registers an entry in the store under a lease."""
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import NamedTuple, Protocol
+from typing import Annotated, NamedTuple, Protocol
 
 import anyio
 import msgspec
@@ -11,6 +11,7 @@
 from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed
 from endivesaddle.fleet.ports import Stored
+from endivesaddle.fleet.routes import address_patterns
 from endivesaddle.fleet.routes import store_events as events
 from endivesaddle.fleet.routes.remote_store import ForwardStore
 from endivesaddle.fleet.routes.store_versions import StoreVersions
@@ -50,7 +51,7 @@
 
     role: str
     incarnation: str
-    address: str
+    address: Annotated[str, msgspec.Meta(pattern=address_patterns.ANY_HOST)]
     data_centre: str
 
 
--- a/packages/instances/src/endivesaddle/instances/channels.py
+++ b/packages/instances/src/endivesaddle/instances/channels.py
@@ -12,6 +12,8 @@
 from endivesaddle.instances.http2 import CONFIGURATION, LinkProtocol
 from endivesaddle.instances.settings import InstancesSettings
 
+PORTS = range(1 << 16)
+
 
 class LinkChannel(Channel):
     """A channel whose connection is a ``LinkProtocol``; it connects anew when that ends."""
@@ -19,7 +21,10 @@
     def __init__(
         self, address: str, settings: InstancesSettings, context: ssl.SSLContext | None
     ) -> None:
-        """Make no connection yet; ``context`` is None without TLS."""
+        """Make no connection yet; ``context`` is None without TLS.
+
+        Raises ``ValueError`` if the address is malformed.
+        """
         host, port = split(address)
         super().__init__(host, port, ssl=context, config=CONFIGURATION)
         self._settings = settings
@@ -58,6 +63,9 @@
 
 
 def split(address: str) -> tuple[str, int]:
-    """Split "ip:port", also of IPv6."""
+    """Split "ip:port", also of IPv6; raises ``ValueError`` if there is no port in its range."""
     host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
+    number = int(port)
+    if number not in PORTS:
+        raise ValueError(f'{number} is not a port')
+    return host.strip('[]'), number
--- a/packages/instances/src/endivesaddle/instances/links.py
+++ b/packages/instances/src/endivesaddle/instances/links.py
@@ -17,7 +17,10 @@
     def __init__(
         self, address: str, settings: InstancesSettings, context: ssl.SSLContext | None
     ) -> None:
-        """Make no connection yet; ``context`` is None without TLS."""
+        """Make no connection yet; ``context`` is None without TLS.
+
+        Raises ``ValueError`` if the address is malformed.
+        """
         self.calls = 0
         self._settings = settings
         self._channel = LinkChannel(address, settings, context)
@@ -58,7 +61,11 @@
         if protocol is not None and await self._answers(protocol):
             return protocol
         with anyio.fail_after(self._settings.link_connect_s):
-            protocol = cast(LinkProtocol, await self._channel.__connect__())
+            try:
+                protocol = cast(LinkProtocol, await self._channel.__connect__())
+            except ValueError as error:
+                # The host is no name that can be looked up.
+                raise OSError(str(error)) from error
             await protocol.greeting()
         return protocol
 
@@ -87,7 +94,7 @@
         self._links: dict[str, Link] = {}
 
     def find(self, address: str) -> Link:
-        """Return the link to an address."""
+        """Return the link to an address; raises ``ValueError`` if the address is malformed."""
         link = self._links.get(address)
         if link is None:
             self._sweep()
--- a/packages/instances/src/endivesaddle/instances/peers.py
+++ b/packages/instances/src/endivesaddle/instances/peers.py
@@ -130,7 +130,10 @@
         limit_bytes = self._settings.link_message_bytes
         if message.ByteSize() > limit_bytes:
             raise PeerRefused(f'{rpc.path} to {address} is larger than {limit_bytes} bytes')
-        link = self.links.find(address)
+        try:
+            link = self.links.find(address)
+        except ValueError as error:
+            raise PeerUnreachable(f'{address!r} is no address: {error}') from error
         attempt = Attempt(address, rpc, link)
         self.calls[rpc.path] += 1
         link.calls += 1
