Let slow callers read their answers to the end while a router stops

Cause: the stop waited for requests whose answer was not written yet. Change: requests count as open until their connection has nothing unsent; the stop waits for them as for requests in flight, within the same time.

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -17,6 +17,12 @@
     Then all callers got whole answers
     And each router ended with status 0 and logged the signals that it got
 
+  Scenario: A router that stops lets slow callers read the rest of their answers
+    Failure: answers that were written but not sent yet did not count as open, and were cut.
+    When 3 slow callers read answers of 16000000 bytes from a router that gets SIGTERM
+    Then all slow callers got whole answers
+    And the router ended by itself with status 0
+
   Scenario Outline: A <role> is ended by no signal before it serves or after its last request
     Failure: a change of the settings during a start or at the end of a stop ended the process.
     When a <role> gets SIGHUP and SIGUSR1 again and again, and SIGTERM once it serves
--- a/features/steps/process_signals_steps.py
+++ b/features/steps/process_signals_steps.py
@@ -9,6 +9,7 @@
 
 from subjects import processes
 from subjects.signalled_programs import PATHS, SignalledPrograms
+from subjects.slow_callers import SlowCallers
 
 UNHANDLED = 'SIGPIPE'
 FLOOD = """
@@ -82,3 +83,24 @@
     context.subject = processes.Processes()
     play = functools.partial(processes.stop, role=role, signals=tuple(signals.split()))
     context.subject.run(play)
+
+
+@when('{callers:d} slow callers read answers of {size:d} bytes from a router that gets SIGTERM')
+def stop_beside_slow_callers(context: Any, callers: int, size: int) -> None:
+    """Run one router."""
+    context.slow_callers = SlowCallers(callers, size)
+    context.slow_callers.play()
+
+
+@then('all slow callers got whole answers')
+def slow_whole_answers(context: Any) -> None:
+    """Compare the lengths of the bodies."""
+    slow = context.slow_callers
+    assert len(slow.read_bytes) == slow.callers, slow.read_bytes
+    assert set(slow.read_bytes) == {slow.answer_bytes}, slow.read_bytes
+
+
+@then('the router ended by itself with status 0')
+def ended_by_itself(context: Any) -> None:
+    """Check its status."""
+    assert context.slow_callers.exit_status == 0, context.slow_callers.exit_status
--- a/features/subjects/signalled_programs.py
+++ b/features/subjects/signalled_programs.py
@@ -31,6 +31,8 @@
 LOOK_S = 0.05
 REPEAT_S = 0.005
 PATHS = ('/b/1', '/b/2', '/p/1', '/p/2')
+LARGE = '/p/large/'
+"""Prefix of paths that are answered at once; the rest of the path is the number of bytes."""
 SEAL = (b'server-seal', b'seal')
 STREAMED = MappingProxyType(
     {
@@ -203,6 +205,11 @@
     """Answer as a server that works for ``WORK_S`` on each request."""
     echoed = [pair for pair in scope['headers'] if pair[0] == b'attempt-id']
     start = {'type': 'http.response.start', 'status': 200, 'headers': [SEAL, *echoed]}
+    if scope['path'].startswith(LARGE):
+        await send(start)
+        body = b'x' * int(scope['path'].removeprefix(LARGE))
+        await send({'type': 'http.response.body', 'body': body})
+        return
     if scope['path'].startswith('/p/'):
         await anyio.sleep(WORK_S)
         await send(start)
--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -4,6 +4,7 @@
 from functools import partial
 from http import HTTPStatus
 from typing import Any, NamedTuple
+from weakref import WeakSet
 
 import anyio
 
@@ -142,7 +143,8 @@
     def __init__(self, parts: ForwardParts) -> None:
         """Initialize with its dependencies."""
         self._parts = parts
-        self.open_count = 0
+        self._running_count = 0
+        self._sending: WeakSet[Connection] = WeakSet()
 
     async def __call__(self, scope: MutableMapping[str, Any], receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -157,13 +159,20 @@
         request_id = exchange.headers.get(parts.header_names.request_id, '')
         socket: Connection | None = scope.get(CALLER_SOCKET)
         caller = parts.runner.departures.caller(request_id, socket)
-        self.open_count += 1
+        self._running_count += 1
         try:
             await self._serve(exchange, caller, scope.get(CONNECTION))
         except CallerGone:
             caller.left(SeenBy.LISTENER)
         finally:
-            self.open_count -= 1
+            self._running_count -= 1
+            if socket is not None and socket.has_unsent():
+                self._sending.add(socket)
+
+    @property
+    def open_count(self) -> int:
+        """The number of requests without an answer, and of connections with unsent answers."""
+        return self._running_count + sum(one.has_unsent() for one in self._sending)
 
     async def _serve(
         self, exchange: Exchange, caller: Caller, connection: CallerConnection | None
--- a/packages/daemon/src/endivesaddle/daemon/forward_http.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_http.py
@@ -63,6 +63,10 @@
         hung_up.register(self._transport.get_extra_info('socket').fileno(), select.POLLRDHUP)
         return bool(hung_up.poll(0))
 
+    def has_unsent(self) -> bool:
+        """Return whether the transport holds data that the system has not accepted yet."""
+        return self._transport.get_write_buffer_size() > 0
+
     def subscribe(self, notify: Callable[[], None]) -> None:
         """Call ``notify`` when the close has been read; it replaces the previous one."""
         self._notify = notify
--- a/packages/fleet/src/endivesaddle/fleet/routes/departures.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/departures.py
@@ -52,6 +52,9 @@
     def closed(self) -> bool:
         """Return whether the caller has closed it, also if that has not been read yet."""
 
+    def has_unsent(self) -> bool:
+        """Return whether written data waits until the caller has read what came before."""
+
     def subscribe(self, notify: Callable[[], None]) -> None:
         """Call ``notify`` when the close has been read; it replaces the previous one."""
 
