Bound the bytes of responses that a router holds

A server in trouble may send bytes without end. Callers of all other requests of a router would see their connections break when the platform killed it for its memory.

Cause: a body was held whole, however long. Chunk extensions, trailers and bytes behind a response were read without a bound, late responses passed over without one, and bounds of events and heads held for each response alone: small chunks and headers took forty and ten times their bytes. Beyond a bound the connection is closed at once and event 2731 names request, server and bound. Reads take 32 KB from one shared buffer. A stream of tiny events gives other tasks a turn after 32.

--- a/packages/backend_servers/src/endivesaddle/backend_servers/answer_parser.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/answer_parser.py
@@ -5,15 +5,22 @@
 
 import httptools
 
+from endivesaddle.backend_servers.held_bytes import ResponseTooLong
+from endivesaddle.fleet.interfaces import ServerLost
+
 MAX_HEADER_BYTES = 1 << 16
-"""Maximum size of the response headers: ten times what engines send."""
+"""Maximum size of the response headers, interim responses included: ten times what engines send.
+
+It also bounds what may arrive between two parts of a body and behind it: chunk extensions, trailers
+and bytes that belong to no response."""
+MAX_HEADERS = 256
+"""Maximum number of headers: each takes a hundred bytes of memory more than its own."""
 MIN_FINAL_STATUS = 200
 """A status below this belongs to an interim response."""
 _KEEP_ALIVE = b'keep-alive'
 _TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
 _SIZED = frozenset((b'content-length', b'transfer-encoding'))
 
-
 MAX_RESPONSES = 4
 """Responses that are held for one request; more are not parsed."""
 
@@ -28,8 +35,8 @@
         self.has_headers = False
         self.complete = False
         self.keeps_open = False
-        self.body_parts: list[bytes] = []
-        self.body_bytes = 0
+        # A list of parts would need forty bytes for each part of one byte.
+        self.body = bytearray()
 
     @property
     def sized(self) -> bool:
@@ -38,9 +45,8 @@
 
     def take_body(self) -> bytes:
         """Return and remove the received part of the body."""
-        data = b''.join(self.body_parts)
-        self.body_parts.clear()
-        self.body_bytes = 0
+        data = bytes(self.body)
+        self.body.clear()
         return data
 
 
@@ -55,11 +61,11 @@
         """Initialize before the first byte; ``bodiless`` if the request method is HEAD."""
         self.bodiless = bodiless
         self.skipped_count = 0
-        self.skipped_bytes = 0
         self._last = ParsedResponse()
         self._responses = deque((self._last,))
         self._unusable = False
-        self._header_bytes = 0
+        self._idle_bytes = 0
+        self._advanced = False
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -76,7 +82,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Bytes of bodies that were received and not taken yet."""
-        return sum(response.body_bytes for response in self._responses)
+        return sum(len(response.body) for response in self._responses)
 
     @property
     def keep_alive_s(self) -> int:
@@ -86,25 +92,23 @@
         found = _TIMEOUT.search(header)
         return int(found.group(1)) if found else 0
 
-    def feed(self, data: bytes) -> str:
-        """Parse received bytes; return an error text, '' if there is no error.
+    def feed(self, data: bytes | memoryview) -> ServerLost | None:
+        """Parse received bytes; return the error after which nothing more can be read, if any.
 
         Whatever comes behind a complete response doesn't change it, and makes the connection
         unusable.
         """
         if self._unusable:
-            return 'the data behind a response could not be parsed'
-        if not self._last.has_headers:
-            self._header_bytes += len(data)
+            return ServerLost('the data behind a response could not be parsed')
+        self._advanced = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._unusable = True
-            return f'{type(error).__name__} {error}'
-        if not self._last.has_headers and self._header_bytes > MAX_HEADER_BYTES:
-            self._unusable = True
-            return 'the response headers are too long'
-        return ''
+            return ServerLost(f'{type(error).__name__} {error}')
+        too_long = self._exceeded(len(data))
+        self._unusable = self._unusable or too_long is not None
+        return too_long
 
     def skip(self) -> None:
         """Pass over the response that is read, which is complete; the next one is read then."""
@@ -123,13 +127,13 @@
     def on_message_begin(self) -> None:
         """Handle the start of a message."""
         if self._last.complete and len(self._responses) < MAX_RESPONSES:
-            self._header_bytes = 0
             self._begin_response()
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store one header; trailers after the body are ignored."""
-        if not self._last.has_headers:
-            self._last.headers.append((name, content))
+        last = self._last
+        if not last.has_headers and len(last.headers) <= MAX_HEADERS:
+            last.headers.append((name, content))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the headers; interim responses are dropped."""
@@ -142,12 +146,13 @@
             return
         last.has_headers = True
         last.complete = self.bodiless
+        self._advanced = True
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         if not self._last.complete:
-            self._last.body_parts.append(body)
-            self._last.body_bytes += len(body)
+            self._last.body += body
+            self._advanced = True
 
     def on_message_complete(self) -> None:
         """Handle the end of the response."""
@@ -156,6 +161,17 @@
             last.complete = True
             last.keeps_open = self._parser.should_keep_alive()
 
+    def _exceeded(self, received_bytes: int) -> ResponseTooLong | None:
+        """Return the error if a bound is exceeded after ``received_bytes`` more."""
+        self._idle_bytes = 0 if self._advanced else self._idle_bytes + received_bytes
+        last = self._last
+        if self._idle_bytes > MAX_HEADER_BYTES:
+            bound = 'bytes outside of a body' if last.has_headers else 'response headers'
+            return ResponseTooLong(bound, self._idle_bytes, MAX_HEADER_BYTES)
+        if len(last.headers) > MAX_HEADERS:
+            return ResponseTooLong('number of headers', len(last.headers), MAX_HEADERS)
+        return None
+
     def _begin_response(self) -> None:
         self._last = ParsedResponse()
         self._responses.append(self._last)
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -1,14 +1,17 @@
 """HTTP client of forwarded requests, which adds the router's own headers."""
 
-from collections.abc import AsyncIterator, Mapping
+import asyncio
+from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager
 
 from endivesaddle.backend_servers.connection_pool import ConnectionPool, OutgoingRequest
+from endivesaddle.backend_servers.held_bytes import HeldBytes, HeldShare, ResponseTooLong
 from endivesaddle.backend_servers.server_connection import RawResponse
 from endivesaddle.backend_servers.sse import EventSplitter, EventTooLong
 from endivesaddle.backend_servers.unread_headers import UnreadHeaders
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.interfaces import ServerLost
+from endivesaddle.fleet.interfaces import BodyTooLong, ServerLost
+from endivesaddle.fleet.routes import run_events
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForeignResponse,
@@ -20,6 +23,15 @@
 
 EVENT_BYTES = 1 << 20
 """Maximum size of a relayed event."""
+BODY_BYTES = 1 << 21
+"""Maximum size of a body that is held back; a longer one is relayed as it arrives."""
+ERROR_BYTES = 1 << 16
+"""Maximum size of the body of a server error, which is held while the request is retried."""
+PART_BYTES = 1 << 15
+"""Maximum size of a part of a long body that is relayed."""
+TURN_EVENTS = 32
+"""Events after which other tasks get a turn: a single read may hold thousands of tiny ones."""
+FIRST_SERVER_ERROR = 500
 MISDIRECTED = 421
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
@@ -30,6 +42,8 @@
 class ForwardedResponse:
     """A server's response, with the header names of one platform."""
 
+    held: HeldShare
+
     def __init__(self, response: RawResponse, call: ServerCall, header_names: HeaderNames) -> None:
         """Read the headers of a response; its body is not read yet."""
         pairs = [
@@ -54,30 +68,67 @@
         self.skipped: ForeignResponse | None = None
         self.sealed = header_names.seal in named
         self._response = response
+        self._beginning = bytearray()
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yield complete events; raise ``ServerLost`` if the stream ends within one."""
         splitter = EventSplitter(EVENT_BYTES)
-        try:
-            async for chunk in self._response.chunks():
-                for event in splitter.split(chunk):
-                    yield event
-        except EventTooLong as error:
-            raise ServerLost(str(error)) from error
-        if splitter.waiting:
+        count = 0
+        async for chunk in self._response.chunks():
+            for event in _split(splitter, chunk):
+                yield event
+                count += 1
+                if not count % TURN_EVENTS:
+                    await asyncio.sleep(0)
+            if not self.held.resize(splitter.waiting_bytes):
+                raise self.held.exceeded(splitter.waiting_bytes)
+        if splitter.waiting_bytes:
             raise ServerLost('the stream ended within an event')
 
     async def whole(self) -> bytes:
-        """Return the complete body; raise ``ServerLost`` if it ends early."""
-        return b''.join([chunk async for chunk in self._response.chunks()])
+        """Return the complete body; raise ``ServerLost`` if it ends early.
+
+        Raises ``BodyTooLong`` if it is too long to be held back, ``ResponseTooLong`` if it is the
+        body of a server error.
+        """
+        failed = self.status >= FIRST_SERVER_ERROR
+        limit_bytes = ERROR_BYTES if failed else BODY_BYTES
+        body = self._beginning
+        async for chunk in self._response.chunks():
+            body += chunk
+            if len(body) > limit_bytes:
+                error = ResponseTooLong('body', len(body), limit_bytes)
+            elif self.held.resize(len(body)):
+                continue
+            else:
+                error = self.held.exceeded(len(body))
+            raise error if failed else BodyTooLong(str(error))
+        return bytes(body)
+
+    async def rest(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start, after ``whole`` has raised ``BodyTooLong``."""
+        for start in range(0, len(self._beginning), PART_BYTES):
+            yield bytes(self._beginning[start : start + PART_BYTES])
+        self._beginning.clear()
+        self.held.release()
+        async for chunk in self._response.chunks():
+            for start in range(0, len(chunk), PART_BYTES):
+                yield chunk[start : start + PART_BYTES]
 
 
 class ForwardClient:
     """Sends requests over pooled connections."""
 
-    def __init__(self, pool: ConnectionPool, header_names: HeaderNames, clock: Clock) -> None:
-        """Use ``header_names`` for the names of headers."""
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        header_names: HeaderNames,
+        clock: Clock,
+        held: HeldBytes | None = None,
+    ) -> None:
+        """Use ``header_names`` for the names of headers; responses are held within ``held``."""
         self.pool = pool
+        self.held = held or HeldBytes()
         self.unread = UnreadHeaders(header_names)
         self._header_names = header_names
         self._clock = clock
@@ -100,15 +151,23 @@
             request.request_id,
         )
         server = call.server
-        async with self.pool.exchange(server.lifetime, server.address, sent) as response:
-            answer = ForwardedResponse(response, call, self._header_names)
-            if not answer.own and response.may_skip(answer.answered_id):
-                skipped = foreign_response(answer)
-                await response.skip()
-                answer = ForwardedResponse(response, call, self._header_names)
-                answer.skipped = skipped
-            self.unread.check(server.lifetime, answer.headers)
-            yield answer
+        share = self.held.share()
+        try:
+            async with self.pool.exchange(server.lifetime, server.address, sent) as response:
+                answer = await self._read_head(call, response)
+                answer.held = share
+                yield answer
+        except ResponseTooLong as error:
+            run_events.TOO_LONG.log(
+                request_id=request.request_id,
+                server=server.lifetime,
+                bound=error.bound,
+                received=error.received,
+                limit=error.limit,
+            )
+            raise
+        finally:
+            share.release()
 
     async def check(self, server: RouteServer) -> None:
         """Connect to a server; the connection stays in the pool for the next request.
@@ -117,6 +176,17 @@
         """
         await self.pool.check(server.lifetime, server.address)
 
+    async def _read_head(self, call: ServerCall, response: RawResponse) -> ForwardedResponse:
+        """Return the response to a request; a late one to an earlier request is passed over."""
+        answer = ForwardedResponse(response, call, self._header_names)
+        if not answer.own and response.may_skip(answer.answered_id):
+            skipped = foreign_response(answer)
+            await response.skip()
+            answer = ForwardedResponse(response, call, self._header_names)
+            answer.skipped = skipped
+        self.unread.check(call.server.lifetime, answer.headers)
+        return answer
+
     def _headers(self, call: ServerCall) -> list[tuple[bytes, bytes]]:
         names = self._header_names
         request = call.request
@@ -136,3 +206,10 @@
             own.append((LENGTH, str(len(request.body))))
         pairs = (*request.headers, *own)
         return [(name.encode('latin-1'), value.encode('latin-1')) for name, value in pairs]
+
+
+def _split(splitter: EventSplitter, chunk: bytes) -> Iterator[bytes]:
+    try:
+        yield from splitter.split(chunk)
+    except EventTooLong as error:
+        raise ResponseTooLong('event', splitter.waiting_bytes, EVENT_BYTES) from error
--- a/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
@@ -18,6 +18,7 @@
 import anyio
 
 from endivesaddle.backend_servers.answer_parser import AnswerParser
+from endivesaddle.backend_servers.held_bytes import ResponseTooLong
 from endivesaddle.fleet.interfaces import NeverSent, ServerLost, ServerRefused
 from endivesaddle.fleet.overload.traffic import PACKET_BYTES, Traffic
 
@@ -31,12 +32,18 @@
 with packet loss."""
 PROBE_S = 1
 """Keep-alive probe interval while a connection waits; two lost probes break it."""
-MAX_BUFFERED_BYTES = 1 << 16
+MAX_BUFFERED_BYTES = 1 << 15
 """Maximum of buffered bytes for a slow caller; beyond it reading from the server pauses."""
+READ_BYTES = 1 << 15
+"""Bytes that are read at a time; asyncio's own buffer has eight times as many, for each read."""
+MAX_SKIPPED_BYTES = 1 << 20
+"""Maximum size of a late response that is passed over."""
 
 MAX_IDS = 16
 """Requests whose late responses are recognized; a connection carries hundreds."""
 
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
+"""Shared by all connections: what is read is parsed before the next read."""
 _INT = struct.Struct('i')
 _RESET = struct.pack('ii', 1, 0)
 """Option of a socket that is reset when it is closed."""
@@ -50,7 +57,7 @@
 )
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection; it may be reused until ``idle_until_s`` on the clock of the event loop."""
 
     def __init__(self, traffic: Traffic | None = None) -> None:
@@ -72,14 +79,22 @@
             for level, option, number in _SOCKET_OPTIONS:
                 raw.setsockopt(level, option, number)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were read into the buffer."""
+        self.data_received(_READ_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Pass received bytes to the current response."""
         self._traffic.received_bytes += len(data) + PACKET_BYTES
         if self._answer is None or not self._in_exchange:
             # Unexpected data: a late second response or stray bytes.
             self.abort()
-        else:
-            self._answer.take(data)
+        elif not self._answer.take(data):
+            self.abort()
 
     def eof_received(self) -> None:
         """Handle the end of the server's data; the transport then closes itself."""
@@ -122,7 +137,7 @@
         """
         if self._transport is None or self._transport.is_closing():
             return False
-        if self._answer is not None and not self._answer.parser.reusable:
+        if self._answer is not None and not self._answer.reusable:
             return False
         raw = self._transport.get_extra_info('socket')
         return raw is None or not _readable(raw.fileno())
@@ -160,7 +175,7 @@
         self.parser = parser
         self._earlier_ids = earlier_ids
         self._transport = transport
-        self._failure = ''
+        self._failure: ServerLost | None = None
         self._paused = False
         self._waiter: asyncio.Future[None] | None = None
 
@@ -174,18 +189,28 @@
         """The headers, once they have been received."""
         return self.parser.response.headers
 
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request: it is read, and nothing is left."""
+        return self.parser.reusable and not self._paused
+
     async def head(self) -> None:
         """Wait for the headers; raise ``ServerLost`` if the connection breaks."""
         await self._until(self._has_headers)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise ``ServerLost`` if it ends early."""
+        """Yield the body as it arrives; raise ``ServerLost`` if it ends early.
+
+        Reading is resumed when the last part has been taken, so that a slow caller has at most one
+        part in hand beside the buffer.
+        """
         while True:
+            if not self.parser.response.body:
+                self._resume()
             await self._until(self._has_data)
             data = self.parser.response.take_body()
             if not data:
                 return
-            self._resume()
             yield data
 
     def may_skip(self, request_id: str) -> bool:
@@ -200,21 +225,25 @@
     async def skip(self) -> None:
         """Pass over this response and wait for the headers of the next one.
 
-        Raises ``ServerLost`` if the connection breaks.
+        Raises ``ServerLost`` if the connection breaks or the response is too long.
         """
+        skipped_bytes = 0
         async for chunk in self.chunks():
-            self.parser.skipped_bytes += len(chunk)
+            skipped_bytes += len(chunk)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ResponseTooLong('late response', skipped_bytes, MAX_SKIPPED_BYTES)
         self.parser.skip()
         self._resume()
         await self.head()
 
-    def take(self, data: bytes) -> None:
-        """Parse received bytes of the response."""
+    def take(self, data: bytes | memoryview) -> bool:
+        """Parse received bytes of the response; return False if nothing more can be read."""
         self._failure = self._failure or self.parser.feed(data)
         if self.parser.buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
             self._transport.pause_reading()
         self._wake()
+        return self._failure is None
 
     def end(self) -> None:
         """Handle the end of the connection, which ends a response without a length."""
@@ -224,13 +253,13 @@
 
     def fail(self, reason: str) -> None:
         """Fail an incomplete response."""
-        self._failure = self._failure or reason
+        self._failure = self._failure or ServerLost(reason)
         self._wake()
 
     async def _until(self, condition: Callable[[], bool]) -> None:
         while not condition():
-            if self._failure:
-                raise ServerLost(self._failure)
+            if self._failure is not None:
+                raise self._failure
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
 
@@ -244,7 +273,7 @@
 
     def _has_data(self) -> bool:
         response = self.parser.response
-        return response.body_bytes > 0 or response.complete
+        return bool(response.body) or response.complete
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/packages/backend_servers/src/endivesaddle/backend_servers/sse.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/sse.py
@@ -8,6 +8,8 @@
 
 DONE = b'[DONE]'
 """Data of the event that ends a response."""
+MAX_LINE_END = 3
+"""Bytes in front of a part that may belong to the empty line that ends an event."""
 _DATA = b'data:'
 
 
@@ -24,26 +26,37 @@
     def __init__(self, max_event_bytes: int) -> None:
         """Initialize with a size limit for an incomplete event."""
         self._max_event_bytes = max_event_bytes
-        self._waiting = b''
+        self._waiting = bytearray()
 
     @property
-    def waiting(self) -> bytes:
-        """Bytes of the incomplete event at the end."""
-        return self._waiting
+    def waiting_bytes(self) -> int:
+        """Size of the incomplete event at the end."""
+        return len(self._waiting)
 
     def split(self, data: bytes) -> Iterator[bytes]:
         """Add bytes and yield the events that are now complete, each with its empty line."""
-        waiting = self._waiting + data
+        text = self._joined(data)
         start = 0
-        end = _event_end(waiting, start)
+        end = _event_end(text, start)
         while end:
-            yield waiting[start:end]
+            yield text[start:end]
             start = end
-            end = _event_end(waiting, start)
-        self._waiting = waiting[start:]
+            end = _event_end(text, start)
+        self._waiting += text[start:]
         if len(self._waiting) > self._max_event_bytes:
             raise EventTooLong(f'an event is longer than {self._max_event_bytes} bytes')
 
+    def _joined(self, data: bytes) -> bytes:
+        """Return the incomplete event with ``data``, or ``data`` alone if that doesn't end it.
+
+        An event of many parts would otherwise be copied and searched again for each of them.
+        """
+        if not self._waiting or not _event_end(bytes(self._waiting[-MAX_LINE_END:]) + data, 0):
+            return data
+        text = bytes(self._waiting) + data
+        self._waiting.clear()
+        return text
+
 
 def event_data(event: bytes) -> bytes:
     """Return the data of an event, its lines joined; empty for a comment."""
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -55,7 +55,9 @@
         self._overload = OverloadParts(settings, GrpcPeers(settings.links, clock), clock)
         peers = TimedPeers(self._overload.peers, clock)
         self.parts = decisions(settings, ports, peers, clock)
-        self.links = ForwardClient(self._overload.pool(), ports.header_names, clock)
+        self.links = ForwardClient(
+            self._overload.pool(), ports.header_names, clock, self._overload.held_bytes()
+        )
         self.peer_routers = PeerRouters(
             PeerRouterParts(*self.parts[1:5], ports.decoder, place.seeds),
             peers,
--- a/packages/daemon/src/endivesaddle/daemon/overload_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/overload_parts.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from endivesaddle.backend_servers.connection_pool import ConnectionPool
+from endivesaddle.backend_servers.held_bytes import HeldBytes
 from endivesaddle.backend_servers.server_connection import connect
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
 from endivesaddle.fleet.clock import Clock
@@ -51,6 +52,10 @@
         """Return a pool of connections to servers."""
         return ConnectionPool(partial(connect, traffic=self.traffic))
 
+    def held_bytes(self) -> HeldBytes:
+        """Return the bound on responses that are held, or that slow callers have not read."""
+        return HeldBytes(self.traffic.buffered_bytes) if self.traffic else HeldBytes()
+
     def attach(self, peer_routers: PeerRouters) -> None:
         """Exchange reports with the other routers."""
         if self.overload is not None:
--- a/packages/fleet/src/endivesaddle/fleet/interfaces.py
+++ b/packages/fleet/src/endivesaddle/fleet/interfaces.py
@@ -225,3 +225,7 @@
 
 class ServerLost(Exception):
     """The connection failed or timed out; the backend server may have run the request."""
+
+
+class BodyTooLong(ServerLost):
+    """The body is too long to be held back; it can still be relayed as it arrives."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -186,7 +186,10 @@
         """Yield complete events of a stream as they arrive."""
 
     async def whole(self) -> bytes:
-        """Return the complete body."""
+        """Return the complete body; raise ``BodyTooLong`` if it is too long to be held back."""
+
+    def rest(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start as it arrives, after ``whole`` raised ``BodyTooLong``."""
 
 
 def foreign_response(response: ServerResponse) -> ForeignResponse:
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -36,3 +36,15 @@
     'forward_ended_after_gone',
     'a request whose caller is gone is closed at its server',
 )
+TOO_LONG = event(
+    2731,
+    'WARNING',
+    'forward_response_too_long',
+    'a response exceeded a bound; its connection is closed',
+)
+NOT_HELD = event(
+    2732,
+    'INFO',
+    'forward_response_not_held',
+    'a body is too long to be held back and is relayed as it arrives',
+)
