Relay a body that is too long to be held back

A success without end used up the memory of a router (593 MB allocated by 100 of them, which were cut at 400 MB each and 1.5 s), and its caller was told 504. A sound body of 24 MB was held whole for a slow caller.

Cause: a complete response was relayed only once its end had been read. Change: beyond the bound, the body goes to the caller as it arrives, and reading from the server waits for the caller. If the server's end fails then, or the deadline passes, the caller's connection is broken off, and the request is not sent again: a part of the body has been relayed. Left: a response of more than 2 MB that breaks off is not replaced by a retry any more.

--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -10,7 +10,13 @@
 from typing import Any, NamedTuple
 
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.interfaces import NeverSent, ServerLeft, ServerLost, ServerRefused
+from endivesaddle.fleet.interfaces import (
+    BodyTooLong,
+    NeverSent,
+    ServerLeft,
+    ServerLost,
+    ServerRefused,
+)
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_detection import CrashDetector, LostRun
 from endivesaddle.fleet.routes.declared import RouteServer
@@ -96,6 +102,7 @@
         self._progress = progress
         self._caller = caller
         self._fallback: CompleteResponse | None = None
+        self._relays_long = False
         self._first_event_unix_s = 0.0
         self._run_first_event_unix_s = 0.0
         self._tried: set[str] = set()
@@ -313,7 +320,16 @@
         return Outcome.DONE
 
     async def _relay_complete(self, placement: Placement, response: ServerResponse) -> Outcome:
-        body = await response.whole()
+        try:
+            body = await response.whole()
+        except BodyTooLong as error:
+            events.NOT_HELD.log(
+                request_id=self.request.request_id,
+                server=placement.backend.server.lifetime,
+                status=response.status,
+                reason=str(error),
+            )
+            return await self._relay_long(placement, response)
         complete = CompleteResponse(response.status, response.headers, body)
         if response.status >= FIRST_SERVER_ERROR:
             if self._progress.started or response.status in NOT_RUN_STATUSES:
@@ -324,6 +340,20 @@
         self._log_answered(placement, complete.status)
         return Outcome.DONE
 
+    async def _relay_long(self, placement: Placement, response: ServerResponse) -> Outcome:
+        """Relay a body that is too long to be held back; from here on no retry can replace it."""
+        if self._progress.started:
+            raise ServerLost('a long body can not follow the events of a stream')
+        self._progress.started = True
+        self._relays_long = True
+        self._caller.stage = Stage.STREAMING
+        await self._sink.start(response.status, response.headers)
+        async for chunk in response.rest():
+            await self._sink.write(chunk)
+        await self._sink.finish()
+        self._log_answered(placement, response.status)
+        return Outcome.DONE
+
     async def _reply(self, complete: CompleteResponse) -> None:
         # A slow caller may still be reading this response when the deadline passes: no other
         # answer may follow it then.
@@ -354,6 +384,8 @@
 
     def _retry_obstacle(self, outcome: Outcome) -> str:
         request = self.request
+        if self._relays_long:
+            return 'a part of the body has been relayed'
         if outcome in {Outcome.FAILED, Outcome.LOST} and not request.route.repeatable:
             return 'it may have run and is not repeatable'
         if self._parts.dispatcher.check_held_back(request) is not None:
