--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -54,3 +54,15 @@
     'forward_unproven_refusal',
     'a server answered with a status that means "not run", but has not proved that',
 )
+TOO_LONG = event(
+    2731,
+    'WARNING',
+    'forward_response_too_long',
+    'a response exceeded a bound; its connection is closed',
+)
+NOT_HELD = event(
+    2732,
+    'INFO',
+    'forward_response_not_held',
+    'a body is too long to be held back and is relayed as it arrives',
+)
