--- /dev/null
+++ b/features/odd_values.feature
@@ -0,0 +1,36 @@
+Feature: Odd values of other writers
+  A value that can be decoded and makes no sense costs itself: an impossible address, a number that
+  no message carries, a name that no header carries.  The other values hold.
+
+  Scenario Outline: No odd entry ends a router or stops its lists
+    Failure: one instance whose address was no address ended all router processes again and again.
+    When two router processes run beside odd <entries>, and a server enters later
+    Then both run, no background task failed, and 10 requests reach that server
+
+    Examples:
+      | entries   |
+      | servers   |
+      | instances |
+
+  Scenario Outline: An impossible address fails like one that nobody listens at
+    Failure: a port out of range raises OverflowError, a bad host UnicodeError, which no caller expects.
+    When <client> connects to each impossible address
+    Then each attempt ends with one of: <errors>
+
+    Examples:
+      | client                        | errors                   |
+      | the client of other instances | PeerUnreachable          |
+      | the client of backend servers | NeverSent, ServerRefused |
+
+  Scenario Outline: No number in any field of a document breaks what uses it
+    Each numeric field of the document's type is set to negative, huge, fractional and infinite ones.
+    Failure: <failure>.
+    Then no number in a <document> breaks what uses it
+
+    Examples:
+      | document                 | failure                                                             |
+      | entry of a server        | none so far                                                         |
+      | load report of an engine | none so far                                                         |
+      | record of crashes        | a count of 2^32 raised ValueError in all reports to other routers   |
+      | record of grants         | a negative grant let an allocator grant more than the total         |
+      | configuration            | a deadline without end refused all requests of a route with 400     |
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -4,9 +4,15 @@
 
 from behave import given, then, when
 
-from subjects.forward_runs import ForwardRuns
+from subjects.forward_runs import PROMISES, ForwardRuns
+from subjects.logged_events import LoggedEvents
+from subjects.promise_orders import broken_promises
 
 SLACK_S = 0.1
+MIN_ORDERS = 2800
+REFUSALS = frozenset(
+    ('forward_refused', 'forward_refused_after_sending', 'forward_unproven_refusal')
+)
 
 
 @given('a {kind} route with {attempts:d} attempts, whose servers {script}')
@@ -14,6 +20,8 @@
     """Start a router."""
     context.runs = ForwardRuns(kind, attempts, script.split(','))
     context.add_cleanup(context.runs.close)
+    context.log = LoggedEvents()
+    context.add_cleanup(context.log.close)
 
 
 @given('the service does not declare the tokens of an event')
@@ -141,3 +149,40 @@
 def unchanged_servers(context: Any, count: int) -> None:
     """Check what the router believes of the servers."""
     assert context.runs.unhindered_servers() == count, context.runs.unhindered_servers()
+
+
+@then('the log has {event} once, and of the others none')
+def logged_refusal(context: Any, event: str) -> None:
+    """Count the lines on refusals."""
+    names = context.log.names()
+    assert {name: names[name] for name in REFUSALS if names[name]} == {event: 1}, names
+
+
+@then('the log names {proof} as the proof of an attempt')
+def logged_proof(context: Any, proof: str) -> None:
+    """Look at the attempts that were counted as not run."""
+    fields = context.log.fields('forward_attempt_not_run')
+    assert fields, 'no attempt was counted as not run'
+    assert all(one['proof'] == proof for one in fields), fields
+
+
+@then('the log has {event} once')
+def logged_once(context: Any, event: str) -> None:
+    """Count the lines."""
+    assert context.log.names()[event] == 1, context.log.names()
+
+
+@then('the caller is not told that it did not run')
+def not_promised(context: Any) -> None:
+    """Check the status and the error."""
+    sink = context.runs.sink
+    assert sink.status not in PROMISES, sink.status
+    assert sink.refusal is None or sink.refusal.not_run != 'true', sink.refusal
+
+
+@then('all orders of behaviours keep the promise "not run"')
+def orders(context: Any) -> None:
+    """Play each order."""
+    played, broken = broken_promises()
+    assert played > MIN_ORDERS, played
+    assert not broken, f'{len(broken)} of {played}: {broken[:5]}'
--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -4,6 +4,7 @@
 from functools import partial
 from http import HTTPStatus
 from typing import Any, NamedTuple
+from weakref import WeakSet
 
 import anyio
 
@@ -16,9 +17,9 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.overload.overload import Arrival, Overload
 from endivesaddle.fleet.overload.traffic import PACKET_BYTES, CallerConnection
-from endivesaddle.fleet.routes import run_events
 from endivesaddle.fleet.routes.declaration_index import DeclarationIndex
 from endivesaddle.fleet.routes.departures import Caller, Connection, SeenBy
+from endivesaddle.fleet.routes.execution import refuse as refuse_forwarded
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, Pairs
 from endivesaddle.fleet.routes.header_names import LENGTH, HeaderNames
 from endivesaddle.fleet.routes.routing_state import RoutingState
@@ -142,7 +143,8 @@
     def __init__(self, parts: ForwardParts) -> None:
         """Initialize with its dependencies."""
         self._parts = parts
-        self.open_count = 0
+        self._running_count = 0
+        self._sending: WeakSet[Connection] = WeakSet()
 
     async def __call__(self, scope: MutableMapping[str, Any], receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -157,13 +159,20 @@
         request_id = exchange.headers.get(parts.header_names.request_id, '')
         socket: Connection | None = scope.get(CALLER_SOCKET)
         caller = parts.runner.departures.caller(request_id, socket)
-        self.open_count += 1
+        self._running_count += 1
         try:
             await self._serve(exchange, caller, scope.get(CONNECTION))
         except CallerGone:
             caller.left(SeenBy.LISTENER)
         finally:
-            self.open_count -= 1
+            self._running_count -= 1
+            if socket is not None and socket.has_unsent():
+                self._sending.add(socket)
+
+    @property
+    def open_count(self) -> int:
+        """The number of requests without an answer, and of connections with unsent answers."""
+        return self._running_count + sum(one.has_unsent() for one in self._sending)
 
     async def _serve(
         self, exchange: Exchange, caller: Caller, connection: CallerConnection | None
@@ -173,12 +182,7 @@
         sink.connection = connection
         request = self._admit(await self._read(exchange))
         if isinstance(request, Refusal):
-            run_events.REFUSED.log(
-                request_id=caller.request_id,
-                code=request.code,
-                reason=request.reason,
-            )
-            await sink.refuse(request)
+            await refuse_forwarded(caller.request_id, sink, request)
             return
         sink.kind = request.route.repeat.value
         async with anyio.create_task_group() as group:
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -36,3 +36,33 @@
     'forward_ended_after_gone',
     'a request whose caller is gone is closed at its server',
 )
+ATTEMPT_NOT_RUN = event(
+    2714,
+    'INFO',
+    'forward_attempt_not_run',
+    'an attempt is counted as not run; what proved that, and whether this attempt was sent',
+)
+REFUSED_AFTER_SENDING = event(
+    2715,
+    'INFO',
+    'forward_refused_after_sending',
+    'the router answers a request that it has sent as not run; the proof of each attempt',
+)
+UNPROVEN_REFUSAL = event(
+    2716,
+    'WARNING',
+    'forward_unproven_refusal',
+    'a server answered with a status that means "not run", but has not proved that',
+)
+TOO_LONG = event(
+    2731,
+    'WARNING',
+    'forward_response_too_long',
+    'a response exceeded a bound; its connection is closed',
+)
+NOT_HELD = event(
+    2732,
+    'INFO',
+    'forward_response_not_held',
+    'a body is too long to be held back and is relayed as it arrives',
+)
