--- a/features/subjects/random_exchanges.py
+++ b/features/subjects/random_exchanges.py
@@ -27,6 +27,7 @@
     Reply,
     ScriptedServer,
     events,
+    shortened,
     sound,
 )
 
@@ -53,6 +54,8 @@
 MAX_PAUSE_S = 0.06
 INTERIM = (100, 102, 103)
 LARGE_BODY_BYTES = 300_000
+BODIES_BYTES = (0, 100_000, 3_000_000)
+BODIES_PERCENT = (85, 10, 5)
 ALL_SERVERS = 10
 MIN_ODD = 5
 CALLERS = 8
@@ -96,6 +99,7 @@
     async def __call__(self, exchange: Exchange) -> None:
         """Play one request."""
         draw = Random(f'{self._seed}/{exchange.server.name}/{exchange.request_id}')
+        exchange.body_bytes = draw.choices(BODIES_BYTES, BODIES_PERCENT)[0]
         if draw.random() >= self._odd_share:
             await sound(exchange)
             return
@@ -146,7 +150,7 @@
     ids = _ids(draw, exchange)
     status = draw.choice(STATUSES)
     own = ids[0] if ids and ids[0] else 'nobody'
-    body = f'{own} by {exchange.server.name}'.encode()
+    body = exchange.text(own)
     if exchange.streamed and status in SUCCESSES:
         last = EVENTS if _chance(draw, 70) else draw.randrange(EVENTS)
         body = events(own, exchange.first_event, last)
@@ -191,7 +195,7 @@
 async def _answer(exchange: Exchange, drawn: Plan) -> None:
     channel = exchange.channel
     if drawn.repeats and channel.replies:
-        exchange.note(f'repeated {channel.replies[-1]}')
+        exchange.note(f'repeated {shortened(channel.replies[-1])}')
         channel.writer.write(channel.replies[-1].encoded())
         await channel.flush()
     if drawn.interim:
@@ -206,7 +210,7 @@
     whole = drawn.reply.encoded()
     # Half of a body, or of a head, without the end of the last line.
     kept = len(head) + len(drawn.reply.body) // 2 if drawn.cut == IN_BODY else len(head) - 4
-    exchange.note(f'cut {drawn.cut} {drawn.reply}')
+    exchange.note(f'cut {drawn.cut} {shortened(drawn.reply)}')
     channel.writer.write(whole[:kept])
     await channel.flush()
 
--- a/features/subjects/refusal_proofs.py
+++ b/features/subjects/refusal_proofs.py
@@ -32,6 +32,7 @@
 from subjects.refusal_behaviours import PROMISES, behaviours
 from subjects.scripted_servers import (
     EVENTS,
+    MAX_SHOWN_BYTES,
     SUCCESSES,
     Exchange,
     Ledger,
@@ -235,9 +236,10 @@
     whole = told.status in SUCCESSES and told.complete and sent.method != BODILESS
     if whole and not _whole(told, ledger):
         found.append('not its whole answer')
+    shown = told.body[:MAX_SHOWN_BYTES]
     trace = '; '.join(ledger.notes[sent.request_id])
     return [
-        f'{text}: {sent} begun {begun} times, told {told.status} {told.body!r}; {trace}'
+        f'{text}: {sent} begun {begun} times, told {told.status} {shown!r}; {trace}'
         for text in found
     ]
 
--- a/features/subjects/scripted_servers.py
+++ b/features/subjects/scripted_servers.py
@@ -18,6 +18,7 @@
 EVENTS = 5
 SUCCESSES = range(200, 300)
 SETTLE_S = 5.0
+MAX_SHOWN_BYTES = 200
 BY_LENGTH = 'length'
 BY_CHUNKS = 'chunks'
 BY_CLOSE = 'close'
@@ -93,6 +94,11 @@
     )
 
 
+def shortened(reply: Reply) -> str:
+    """Return the text of a response for a trace, without most of a long body."""
+    return f'{reply._replace(body=reply.body[:MAX_SHOWN_BYTES])} with {len(reply.body)} bytes'
+
+
 class Channel:
     """The server's end of one connection, with the requests and responses that it carried."""
 
@@ -147,6 +153,7 @@
         self.bodiless = head.startswith(b'HEAD ')
         self.streamed = self.target.startswith(STREAMED_TARGETS)
         self.number = len(channel.ids)
+        self.body_bytes = 0
         self.ledger = server.ledger
 
     async def read(self) -> None:
@@ -168,7 +175,11 @@
         """Return the body of the answer."""
         if self.streamed:
             return events(self.request_id, self.first_event, EVENTS)
-        return f'{self.request_id} by {self.server.name}'.encode()
+        return self.text(self.request_id)
+
+    def text(self, request_id: str) -> bytes:
+        """Return the text that answers a request, as long as this exchange says."""
+        return f'{request_id} by {self.server.name}'.encode().ljust(self.body_bytes, b'.')
 
     def answer(self) -> Reply:
         """Return the complete answer."""
@@ -180,7 +191,7 @@
 
     def send(self, reply: Reply) -> None:
         """Send a complete response."""
-        self.note(f'sent {reply}')
+        self.note(f'sent {shortened(reply)}')
         if reply.sealed and reply.ids == (self.request_id,) and reply.status in SUCCESSES:
             self.ledger.sent[self.request_id].add(reply.body)
         if reply.states_not_run(self.request_id):
