Take a record of crashes with an impossible count for unreadable

A record in the store whose count of trials no message can hold stops the reports to other routers, for as long as the record is kept.

Cause: CrashRecord.tries was read without bounds; a CrashWord holds 32 bits, and protobuf raises ValueError where the report is built, in the task that exchanges with all other routers. Change: the count is bounded where it is decoded, below what grows out of 32 bits.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -21,3 +21,14 @@
       | client                        | errors                   |
       | the client of other instances | PeerUnreachable          |
       | the client of backend servers | NeverSent, ServerRefused |
+
+  Scenario Outline: No number in any field of a document breaks what uses it
+    Each numeric field of the document's type is set to negative, huge, fractional and infinite ones.
+    Failure: <failure>.
+    Then no number in a <document> breaks what uses it
+
+    Examples:
+      | document                 | failure                                                             |
+      | entry of a server        | none so far                                                         |
+      | load report of an engine | none so far                                                         |
+      | record of crashes        | a count of 2^32 raised ValueError in all reports to other routers   |
--- a/features/steps/odd_values_steps.py
+++ b/features/steps/odd_values_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 
-from subjects import odd_addresses
+from subjects import odd_addresses, odd_uses
 from subjects.odd_processes import LATER, OddEntries
 
 REQUESTS = 10
@@ -40,3 +40,10 @@
     allowed = set(errors.split(', '))
     others = {name: kind for name, kind in context.outcomes.items() if kind not in allowed}
     assert not others, others
+
+
+@then('no number in a {document} breaks what uses it')
+def none_breaks(context: Any, document: str) -> None:
+    """Give the document to its readers with each number."""
+    failures = odd_uses.failures(document)
+    assert not failures, failures
--- a/packages/fleet/src/endivesaddle/fleet/routing/crash_records.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/crash_records.py
@@ -6,7 +6,9 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
 
 from endivesaddle.fleet.routing import crash_events as events
 from endivesaddle.fleet.routing.crash_blame import EndedRun, Suspect, blamed, incidents, is_part
@@ -36,6 +38,9 @@
 LOCAL_SOURCE = 'here'
 """The source of what this instance recorded itself."""
 
+Tries = Annotated[int, msgspec.Meta(ge=0, le=(1 << 31) - 1)]
+"""A count of trials; messages between instances hold 32 bits, and it grows with each trial."""
+
 
 class CrashRecord(NamedTuple):
     """What is known of one subject.
@@ -50,7 +55,7 @@
     ended: dict[str, EndedRun] = {}  # never changed in place
     answered: frozenset[str] = frozenset()
     held_until_unix_s: float = 0.0
-    tries: int = 0
+    tries: Tries = 0
     kept_until_unix_s: float = 0.0
     number: int = 0
     requests: frozenset[str] = frozenset()
