Take a record with a negative grant for unreadable

An odd record of grants made an allocator grant more than an account's prepaid total (BUDGET).

Cause: the amounts were decoded as any whole number; a negative grant of another incarnation is subtracted from the others' sum, and so raises what is free above the total. Change: amounts of grants are 0 to 2^63 - 1; a record with others is left as it is and gives out nothing.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -32,3 +32,4 @@
       | entry of a server        | none so far                                                         |
       | load report of an engine | none so far                                                         |
       | record of crashes        | a count of 2^32 raised ValueError in all reports to other routers   |
+      | record of grants         | a negative grant let an allocator grant more than the total         |
--- a/packages/fleet/src/endivesaddle/fleet/routes/grants.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grants.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -51,15 +51,18 @@
 """Use that has just begun is averaged over at least this time."""
 
 
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 class GrantEntry(NamedTuple):
     """The grant of one incarnation of an allocator, what it has spent so far, and its use.
 
     ``rate_per_s`` is the number of tokens requested per second, in the worst case.
     """
 
-    granted: int
-    spent: int
-    rate_per_s: int
+    granted: Tokens
+    spent: Tokens
+    rate_per_s: Tokens
 
 
 class Record(NamedTuple):
