--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -33,3 +33,4 @@
       | load report of an engine | none so far                                                         |
       | record of crashes        | a count of 2^32 raised ValueError in all reports to other routers   |
       | record of grants         | a negative grant let an allocator grant more than the total         |
+      | configuration            | a deadline without end refused all requests of a route with 400     |
