--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -4,12 +4,14 @@
 
   Scenario Outline: No odd entry ends a router or stops its lists
     Failure: one instance whose address was no address ended all router processes again and again.
+    Failure: requests failed for a server whose key, which each request names, no header can carry.
     When two router processes run beside odd <entries>, and a server enters later
     Then both run, no background task failed, and 10 requests reach that server
 
     Examples:
       | entries   |
       | servers   |
+      | names     |
       | instances |
 
   Scenario Outline: An impossible address fails like one that nobody listens at
--- a/features/subjects/odd_processes.py
+++ b/features/subjects/odd_processes.py
@@ -1,6 +1,6 @@
 """Subject: real router processes that follow a store with odd entries of another writer."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Any
 
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 
+from endivesaddle.fleet.registry import Registry
 from endivesaddle.fleet.routes.instance_directory import PREFIX, ROUTER, SIDECAR
 from endivesaddle.stand_ins.etcd_serving import serve_asgi
 from subjects.odd_values import ADDRESSES, TEXTS
@@ -21,12 +22,19 @@
 LISTED_S = 6.0
 """Routers list the other instances within this time, more than once."""
 ENTERED_S = 3.0
+KEY_BYTES = 200
 LATER = 'later'
 SERVICE = 'late'
+NAMES = tuple(name for name in TEXTS.values() if len(name) < KEY_BYTES)
+"""Texts that fit into a key of the users' store."""
 ROUTE = MappingProxyType({**PLAIN, 'name': 'r-3', 'prefix': '/l/', 'service': SERVICE})
 
 
-def odd_instances() -> Iterator[tuple[str, bytes]]:
+entries: Registry[Callable[[str], Iterator[tuple[str, bytes]]]] = Registry('kind of odd entries')
+
+
+@entries.add('instances')
+def _instances(_: str) -> Iterator[tuple[str, bytes]]:
     """Yield keys and values of instances whose address is none."""
     for number, address in enumerate(ADDRESSES.values()):
         for role in (ROUTER, SIDECAR):
@@ -34,7 +42,8 @@
             yield f'{PREFIX}{role}/odd-{number}', entry
 
 
-def odd_servers() -> Iterator[tuple[str, bytes]]:
+@entries.add('servers')
+def _servers(_: str) -> Iterator[tuple[str, bytes]]:
     """Yield keys and values of servers that can't be used."""
     for number, value in enumerate(ENTRIES.values()):
         yield f'servers/odd-value-{number}', value
@@ -43,9 +52,10 @@
         yield f'servers/odd-address-{number}', msgspec.json.encode(entry)
 
 
-def oddly_named(address: str) -> Iterator[tuple[str, bytes]]:
+@entries.add('names')
+def _names(address: str) -> Iterator[tuple[str, bytes]]:
     """Yield servers at a sound address whose keys no header can carry."""
-    for name in TEXTS.values():
+    for name in NAMES:
         entry = {**ENTRY, 'service': SERVICE, 'address': address}
         yield f'servers/{name}', msgspec.json.encode(entry)
 
@@ -66,16 +76,19 @@
 
     async def _play(self, kind: str, requests: int) -> None:
         with anyio.fail_after(GUARD_S):
-            async with open_platform() as platform, serve_asgi(self._work) as url:
-                address = url.removeprefix('http://')
+            async with (
+                open_platform() as platform,
+                serve_asgi(self._work) as url,
+                serve_asgi(self._work) as odd_url,
+            ):
                 config = msgspec.json.decode(platform.memory.kept('op/config').value)
                 config['routes'].append(dict(ROUTE))
                 config['services'].append({'name': SERVICE, 'max_conns': 110})
                 platform.memory.put('op/config', msgspec.json.encode(config))
-                for key, value in _odd(kind, address):
+                for key, value in entries.find(kind)(odd_url.removeprefix('http://')):
                     platform.memory.put(key, value)
                 routers = [await platform.start('router') for _ in range(ROUTERS)]
-                await self._serve(platform, routers, address, requests)
+                await self._serve(platform, routers, url.removeprefix('http://'), requests)
 
     async def _serve(
         self,
@@ -117,11 +130,3 @@
         status = 200 if named == LATER else 421
         await send({'type': 'http.response.start', 'status': status, 'headers': [SEAL, echoed]})
         await send({'type': 'http.response.body', 'body': b'done'})
-
-
-def _odd(kind: str, address: str) -> list[tuple[str, bytes]]:
-    if kind == 'instances':
-        return list(odd_instances())
-    if kind == 'names':
-        return list(oddly_named(address))
-    return list(odd_servers())
