Let no entry of an undeclared service replace a server

An entry of another writer with a service that nobody declared takes a sound server out of use, if it was written later and names the same address: requests of its service got 503.

Cause: of the entries with one address the last one counts, as the entry of a crashed server remains for seconds; the services were not compared with the declared ones. Change: an entry of a declared service goes before one of another service; among these the last counts.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -36,3 +36,11 @@
       | record of crashes        | a count of 2^32 raised ValueError in all reports to other routers   |
       | record of grants         | a negative grant let an allocator grant more than the total         |
       | configuration            | a deadline without end refused all requests of a route with 400     |
+
+  Scenario: An entry of a service that is not declared replaces no server
+    Failure: a sound server got no requests while such an entry, written later, had its address.
+    Given a router that follows the users' store
+    When version 5 is configured
+    And server one enters
+    And an entry of a service that is not declared has the address of server one
+    Then server one takes requests of its service
--- a/features/steps/odd_values_steps.py
+++ b/features/steps/odd_values_steps.py
@@ -7,6 +7,7 @@
 
 from subjects import odd_addresses, odd_uses
 from subjects.odd_processes import LATER, OddEntries
+from subjects.users_platform import ADDRESSES, ENTRY
 
 REQUESTS = 10
 
@@ -47,3 +48,17 @@
     """Give the document to its readers with each number."""
     failures = odd_uses.failures(document)
     assert not failures, failures
+
+
+@when('an entry of a service that is not declared has the address of server one')
+def enter_undeclared(context: Any) -> None:
+    """Write the entry of another writer."""
+    entry = {**ENTRY, 'service': 'undeclared', 'address': ADDRESSES['one']}
+    context.users.write('servers/other', entry)
+
+
+@then('server one takes requests of its service')
+def takes_requests(context: Any) -> None:
+    """Check the servers that requests may be sent to."""
+    found = context.users.routing_state.available_servers(ENTRY['service'])
+    assert [server.lifetime for server in found] == ['one'], found
--- a/packages/fleet/src/endivesaddle/fleet/routes/routing_state.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/routing_state.py
@@ -183,14 +183,16 @@
 
         The entry of a crashed server remains for seconds, while its successor already has its
         address.  Requests sent to the crashed one were rejected and used up the retry share.
+        An entry of a service that is not declared names no server, and replaces none.
         """
         by_address: dict[str, RouteServer] = {}
-        for server in self.servers.values():
-            other = by_address.get(server.address)
-            if other is None or self._written_version(server) >= self._written_version(other):
-                by_address[server.address] = server
+        for server in sorted(self.servers.values(), key=self._precedence):
+            by_address[server.address] = server
         return by_address
 
+    def _precedence(self, server: RouteServer) -> tuple[bool, int]:
+        return self.service(server.service) is not None, self._written_version(server)
+
     def _written_version(self, server: RouteServer) -> int:
         return self._written_versions.get(server.lifetime, 0)
 
