Log each odd entry once, also where there are hundreds

With more than 256 unreadable entries each list of the servers logged all of them again, after each outage of the store or loss of its history.

Cause: the versions of 256 keys were remembered; with more, the one that was forgotten is the next read. Change: 4,096 keys, as many as servers whose entries are checked.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -44,3 +44,12 @@
     And server one enters
     And an entry of a service that is not declared has the address of server one
     Then server one takes requests of its service
+
+  Scenario: Many odd entries delay no list and are logged once each
+    Failure: with more odd keys than were remembered, each list logged all of them again.
+    Given a router that follows the users' store
+    When 5 servers enter among 500 odd entries, in random order
+    And the store drops its history 3 times
+    Then all 5 servers take requests, and 500 lines name one odd entry each
+    When server one enters and the list is read once more
+    Then 6 servers take requests
--- a/features/steps/odd_values_steps.py
+++ b/features/steps/odd_values_steps.py
@@ -1,15 +1,21 @@
 """Steps of odd_values.feature."""
 
 from collections import Counter
+from random import Random
 from typing import Any
 
+import msgspec
 from behave import then, when
 
 from subjects import odd_addresses, odd_uses
+from subjects.logged_events import LoggedEvents
 from subjects.odd_processes import LATER, OddEntries
+from subjects.unreadable import ENTRIES
 from subjects.users_platform import ADDRESSES, ENTRY
 
 REQUESTS = 10
+SEED = 1
+LISTED_S = 2.0
 
 
 @when('two router processes run beside odd {entries}, and a server enters later')
@@ -62,3 +68,33 @@
     """Check the servers that requests may be sent to."""
     found = context.users.routing_state.available_servers(ENTRY['service'])
     assert [server.lifetime for server in found] == ['one'], found
+
+
+@when('{servers:d} servers enter among {odd:d} odd entries, in random order')
+def enter_among(context: Any, servers: int, odd: int) -> None:
+    """Write all entries, and record what is logged."""
+    context.logged = LoggedEvents()
+    context.add_cleanup(context.logged.close)
+    values = list(ENTRIES.values())
+    entries = {f'servers/odd-{number}': values[number % len(values)] for number in range(odd)}
+    for number in range(servers):
+        entry = {**ENTRY, 'address': f'10.1.1.{number}:80'}
+        entries[f'servers/sound-{number}'] = msgspec.json.encode(entry)
+    for key in Random(SEED).sample(sorted(entries), len(entries)):
+        context.users.memory.put(key, entries[key])
+    context.users.sleep(LISTED_S)
+
+
+@then('all {servers:d} servers take requests, and {odd:d} lines name one odd entry each')
+def logged_once(context: Any, servers: int, odd: int) -> None:
+    """Check the servers in use and the log."""
+    assert len(context.users.servers()) == servers, context.users.servers()
+    keys = Counter(one['key'] for one in context.logged.fields('declarations_unreadable'))
+    assert (len(keys), keys.total()) == (odd, odd), (len(keys), keys.total())
+
+
+@when('server one enters and the list is read once more')
+def enter_later(context: Any) -> None:
+    """Write one more entry; the stand-in has two entries on a page."""
+    context.users.enter('one')
+    context.users.sleep(LISTED_S)
--- a/packages/fleet/src/endivesaddle/fleet/routes/unreadable_values.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/unreadable_values.py
@@ -3,7 +3,7 @@
 from endivesaddle.fleet.ports import Stored
 from endivesaddle.fleet.routes import events
 
-MAX_KEYS = 256
+MAX_KEYS = 4096
 """Keys that are remembered, so that arbitrary keys don't fill the memory."""
 
 
