Refuse messages between instances that are too large before they are read

Change: the announced size is compared on both sides. The caller gets "no reply", the receiver refuses.

--- a/packages/instances/src/endivesaddle/instances/http2.py
+++ b/packages/instances/src/endivesaddle/instances/http2.py
@@ -15,7 +15,8 @@
 
 import anyio
 from grpclib.config import Configuration
-from grpclib.protocol import H2Protocol
+from grpclib.exceptions import ProtocolError
+from grpclib.protocol import H2Protocol, Stream
 from h2.config import H2Configuration
 from h2.settings import SettingCodes
 
@@ -40,6 +41,22 @@
 )
 
 
+class MessageTooLarge(ProtocolError):
+    """The other end announced a message that is larger than ``link_message_bytes``."""
+
+
+class LinkStream(Stream):
+    """One call, whose messages are read only up to a size: the library reads what is announced."""
+
+    max_bytes = 0
+
+    async def recv_data(self, size: int) -> bytes:
+        """Read ``size`` bytes; raise ``MessageTooLarge``."""
+        if size > self.max_bytes:
+            raise MessageTooLarge(f'a message of {size} bytes, at most {self.max_bytes} are read')
+        return await super().recv_data(size)
+
+
 class LinkProtocol(H2Protocol):
     """One connection, watched for silence in terms of the event loop's time."""
 
@@ -63,6 +80,7 @@
         """Begin to watch."""
         super().connection_made(transport)
         self._transport = cast(asyncio.Transport, transport)
+        self.connection.create_stream = self._create_stream  # type: ignore[method-assign]
         self._heard_s = self._loop.time()
         self._used_s = self._heard_s
         # The library lets a connection carry 100 calls; a hundred claims that wait
@@ -156,6 +174,11 @@
             self._timer.cancel()
             self._timer = self._loop.call_later(self._settings.link_keep_alive_s, self._watch)
 
+    def _create_stream(self, **options: Any) -> LinkStream:
+        stream = LinkStream(self.connection, self._h2(), self._transport, **options)
+        stream.max_bytes = self._settings.link_message_bytes
+        return stream
+
     def _h2(self) -> Any:
         return self.connection._connection  # noqa: WPS437 (the library has no other way)
 
--- a/packages/instances/src/endivesaddle/instances/server.py
+++ b/packages/instances/src/endivesaddle/instances/server.py
@@ -16,6 +16,7 @@
 from endivesaddle.fleet.ports import Handlers
 from endivesaddle.instances import tls
 from endivesaddle.instances.channels import LinkServer, split
+from endivesaddle.instances.http2 import MessageTooLarge
 from endivesaddle.instances.settings import InstancesSettings
 from endivesaddle.wire import rpcs
 
@@ -107,11 +108,12 @@
             await _close(chunks)
 
     async def _message(self, stream: Stream[Any, Any]) -> Any:
-        message = await stream.recv_message()
+        try:
+            message = await stream.recv_message()
+        except MessageTooLarge as error:
+            raise GRPCError(const.Status.RESOURCE_EXHAUSTED, str(error)) from error
         if message is None:
             raise GRPCError(const.Status.INVALID_ARGUMENT, 'the call has no message')
-        if message.ByteSize() > self._settings.link_message_bytes:
-            raise GRPCError(const.Status.RESOURCE_EXHAUSTED, 'the message is too large')
         return message
 
 
