Bound the replies of the store, of etcd and of the instance list

Cause: replies were read whole within a time limit only. Change: a reply, or a line of a streamed one, has at most 16 MB. Beyond that a read counts as unreachable and a write as unconfirmed, and the connection is closed.

--- a/packages/platform/src/endivesaddle/platform/etcd_http.py
+++ b/packages/platform/src/endivesaddle/platform/etcd_http.py
@@ -17,6 +17,7 @@
 from endivesaddle.fleet.clock import Clock, left_s
 from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue, decode_json
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed, UserError
+from endivesaddle.platform.replies import read_lines, request
 from endivesaddle.platform.settings import PlatformSettings
 
 NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
@@ -120,7 +121,7 @@
         try:
             async with self._stream(url + path, body) as reply:
                 raise_for_status(reply.status_code, b'')
-                async for text in _until_silent(reply.aiter_lines(), silence_s):
+                async for text in _until_silent(read_lines(reply), silence_s):
                     yield decode_json(text)
         except WATCH_FAILURES as error:
             self._fail_over(url, describe(error))
@@ -190,8 +191,9 @@
 
     async def _post(self, url: str, body: dict[str, Any], limit_s: float) -> dict[str, Any]:
         timeout = httpx.Timeout(None, connect=self._settings.store_connect_s)
+        encoded = msgspec.json.encode(body)
         with anyio.fail_after(limit_s):
-            reply = await self._client.post(url, content=msgspec.json.encode(body), timeout=timeout)
+            reply = await request(self._client, 'POST', url, content=encoded, timeout=timeout)
         raise_for_status(reply.status_code, reply.content)
         try:
             return _object_decoder.decode(reply.content)
@@ -222,7 +224,7 @@
     raise Unavailable(text)
 
 
-async def _until_silent(texts: AsyncIterator[str], silence_s: float) -> AsyncIterator[str]:
+async def _until_silent(texts: AsyncIterator[bytes], silence_s: float) -> AsyncIterator[bytes]:
     # A half-open connection delivers nothing and reports no error, so the watcher would
     # keep an old configuration for ever.  The store sends progress messages more often
     # than this deadline, so a watch that is silent for longer is broken.
--- a/packages/platform/src/endivesaddle/platform/instance_list.py
+++ b/packages/platform/src/endivesaddle/platform/instance_list.py
@@ -17,6 +17,7 @@
 from endivesaddle.fleet.clock import Clock, left_s
 from endivesaddle.fleet.decoding import JsonDecoder, UnreadableValue
 from endivesaddle.fleet.errors import FleetError
+from endivesaddle.platform.replies import request
 from endivesaddle.platform.settings import PlatformSettings
 
 STATES = frozenset(('live', 'leaving'))
@@ -66,9 +67,8 @@
         headers = {'if-none-match': self._etag} if self._etag else {}
         try:
             with anyio.fail_after(left_s(self._clock, deadline_unix_s)):
-                reply = await self._client.get(
-                    self._settings.instance_list_url, headers=headers, timeout=None
-                )
+                url = self._settings.instance_list_url
+                reply = await request(self._client, 'GET', url, headers=headers, timeout=None)
         except (httpx.HTTPError, TimeoutError) as error:
             raise ListUnreadable(str(error) or type(error).__name__) from error
         if reply.status_code == httpx.codes.NOT_MODIFIED:
