Measure a router process before a server whose responses do not end

Change: a router as a real process forwards 60 requests at once; its peak memory, the answers and the sound requests beside them are checked.

--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -82,3 +82,17 @@
       | kind   |
       | safe   |
       | unsafe |
+
+  Scenario Outline: A router process stays within the memory of a small machine
+    Failure: the platform kills a process that exceeds its memory, with all that it serves.
+    Given a router process before a server whose responses do not end
+    When it forwards 60 requests to responses of status <status>, to callers that read <pace>
+    Then each of them got status <told>
+    And the process had at most 200 MB
+    And it answered each sound request within 1000 ms
+
+    Examples:
+      | status | pace   | told |
+      | 200    | slowly | 200  |
+      | 200    | fast   | 200  |
+      | 500    | fast   | 502  |
--- a/features/steps/endless_responses_steps.py
+++ b/features/steps/endless_responses_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from subjects.endless_process import READ_S, EndlessProcess
 from subjects.endless_responses import ANSWERS, LARGE, SLOW_S, TRICKLE_S, EndlessResponses
 
 MB = 1_000_000
@@ -78,3 +79,37 @@
 def once(context: Any) -> None:
     """Check that it was not sent again."""
     assert context.endless.sendings == 1, context.endless.sendings
+
+
+@given('a router process before a server whose responses do not end')
+def start_process(context: Any) -> None:
+    """Prepare it."""
+    context.process = EndlessProcess()
+
+
+@when(
+    'it forwards {count:d} requests to responses of status {status:d}, to callers that read {pace}'
+)
+def request_process(context: Any, count: int, status: int, pace: str) -> None:
+    """Forward them."""
+    context.process.request(count, status, READ_S if pace == 'slowly' else 0)
+
+
+@then('each of them got status {status:d}')
+def process_told(context: Any, status: int) -> None:
+    """Compare the statuses."""
+    assert set(context.process.statuses) == {b'%d' % status}, context.process.statuses
+
+
+@then('the process had at most {megabytes:d} MB')
+def process_held(context: Any, megabytes: int) -> None:
+    """Compare its peak memory."""
+    process = context.process
+    figures = (process.idle_bytes, process.peak_bytes)
+    assert process.peak_bytes <= megabytes * MB, figures
+
+
+@then('it answered each sound request within {within_ms:d} ms')
+def process_sound(context: Any, within_ms: int) -> None:
+    """Compare the slowest sound request."""
+    assert max(context.process.sound_s) * 1000 <= within_ms, max(context.process.sound_s)
--- a/features/subjects/signalled_programs.py
+++ b/features/subjects/signalled_programs.py
@@ -178,8 +178,11 @@
 
 
 @asynccontextmanager
-async def open_platform() -> AsyncIterator[Platform]:
-    """Yield a platform; all its processes have ended when this returns."""
+async def open_platform(plain_address: str = '') -> AsyncIterator[Platform]:
+    """Yield a platform; all its processes have ended when this returns.
+
+    The server at ``plain_address``, if it is given, serves the route that is not streamed.
+    """
     clock = WallClock()
     memory = MemoryStore(clock)
     async with (
@@ -192,7 +195,7 @@
         account = {**CONFIG['tenants'][0], 'prepaid': None}
         config = {**CONFIG, 'routes': [dict(STREAMED), dict(PLAIN)], 'tenants': [account]}
         memory.put('op/config', msgspec.json.encode(config))
-        for service, url in (('engines', engine_url), ('plain', plain_url)):
+        for service, url in (('engines', engine_url), ('plain', plain_address or plain_url)):
             entry = {**ENTRY, 'service': service, 'address': url.removeprefix('http://')}
             memory.put(f'servers/{service}', msgspec.json.encode(entry))
         with tempfile.TemporaryDirectory() as folder:
