Promise 'not run' only on the proof of each attempt

Cause: a promise without proof. Whether a request ran was one counter, raised at each sending and lowered at each attempt that did not run, whichever attempt had been counted last; any response with the header of a refusal or with 421 was believed, whatever else it said; and statuses below 500 were relayed although 408, 421 and 429 promise the same as 503.

Change: routes/attempts keeps the state of each attempt (unsent, sent, not run with its proof, ran), without I/O. An attempt did not run if it was never written, or if the server refused it: the header and the status of a refusal (400, 408, 421, 429, 503), the id of this request, no seal. Where these disagree, it may have run: 502, and a retry only where the route allows it. routes/caller_answer is the one way to the caller: it sends 'not run' only if no attempt may have run, and relays no server's status that promises it. A response that names two ids answers no request; the header of a refusal is not relayed. A 421 that proves nothing still takes the server out of the list, unless it has a seal. The stand-in of word_of_leaving gave refusals a seal, the receipt of a run; it has none now.

--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -154,10 +154,11 @@
     And the log names <proofs> as the proof of an attempt
 
     Examples:
-      | servers     | event                         | proofs       |
-      | unreached   | forward_refused               | refused      |
-      | declines    | forward_refused_after_sending | the server declined |
-      | moved       | forward_refused_after_sending | another server has the address |
+      | servers   | event                         | proofs                                                |
+      | unreached | forward_refused               | nothing                                               |
+      | declines  | forward_refused_after_sending | the server refused it                                 |
+      | moved     | forward_refused_after_sending | another server at the address refused it              |
+      | closed    | forward_refused_after_sending | the connection closed before the request was written |
 
   Scenario Outline: A status that says that a request did not run needs proof
     Failure: a server's own 429 or 408, given after it had run the request, was relayed, and its
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -162,8 +162,8 @@
 def logged_proof(context: Any, proof: str) -> None:
     """Look at the attempts that were counted as not run."""
     fields = context.log.fields('forward_attempt_not_run')
-    assert fields, 'no attempt was counted as not run'
-    assert all(one['proof'] == proof for one in fields), fields
+    expected = set() if proof == 'nothing' else {proof}
+    assert {one['proof'] for one in fields} == expected, fields
 
 
 @then('the log has {event} once')
--- a/features/subjects/announcing_servers.py
+++ b/features/subjects/announcing_servers.py
@@ -27,6 +27,7 @@
 REQUEST_ID = b'endivesaddle-request-id: '
 LEAVES = b'endivesaddle-leaving: 1\r\n'
 NOT_RUN = b'endivesaddle-not-run: 1\r\n'
+SEAL = b'endivesaddle-seal: x\r\n'
 ROUTE = Route('boards', 'host', '/b/', Repeat.SAFE, 4000, 500, 1, (Target(SERVICE, 1),), 3)
 
 
@@ -57,9 +58,11 @@
         self.got += 1
         start = request.index(REQUEST_ID)
         named = request[start : request.index(b'\r\n', start)]
-        return (
-            b'HTTP/1.1 %d Said\r\n%s\r\nendivesaddle-seal: x\r\n%scontent-length: 4\r\n\r\nbody'
-            % (self.status, named, self.headers)
+        return b'HTTP/1.1 %d Said\r\n%s\r\n%s%scontent-length: 4\r\n\r\nbody' % (
+            self.status,
+            named,
+            b'' if NOT_RUN in self.headers else SEAL,
+            self.headers,
         )
 
 
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -72,7 +72,6 @@
         self.encoded = False
         self.sealed = True
         self.declined = False
-        self.misdirected = False
         self.signals: dict[str, str] = {}
         self._from = call.last_event + 1
         self._breaks_after = breaks_after
@@ -128,7 +127,6 @@
 def relocated(call: ServerCall) -> ScriptedAnswer:
     """Run the request, and answer with a status that a server at a taken address has."""
     answer = ScriptedAnswer(call, status=421)
-    answer.misdirected = True
     return answer
 
 
@@ -189,7 +187,6 @@
     """Answer as another server at the same address."""
     answer = declines(call)
     answer.status = 421
-    answer.misdirected = True
     return answer
 
 
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -20,7 +20,8 @@
 
 EVENT_BYTES = 1 << 20
 """Maximum size of a relayed event."""
-MISDIRECTED = 421
+NEGATIONS = frozenset(('0', 'false'))
+"""Values by which the header of a refusal states none."""
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
 
@@ -38,17 +39,20 @@
         ]
         named = dict(pairs)
         self.status = response.status
+        # Only the router tells a caller that its request did not run.
+        dropped = (LENGTH, header_names.declined)
         self.headers: Pairs = tuple(
-            pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] != LENGTH
+            pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] not in dropped
         )
-        self.declined = header_names.declined in named
+        statements = [value for name, value in pairs if name == header_names.declined]
+        self.declined = bool(statements) and NEGATIONS.isdisjoint(statements)
         self.signals: Mapping[str, str] = {
             name: named[header] for name, header in header_names.signals.items() if header in named
         }
-        self.misdirected = response.status == MISDIRECTED
-        echoed = named.get(header_names.request_id, '')
-        self.answered_id = echoed
-        self.own = echoed == call.request.request_id
+        # A response that names two requests answers neither for certain.
+        ids = {value for name, value in pairs if name == header_names.request_id}
+        self.answered_id = ', '.join(sorted(ids))
+        self.own = self.answered_id == call.request.request_id and len(ids) <= 1
         # No caller requests an encoding: an encoded body was changed on the way.
         self.encoded = ENCODING in named
         self.skipped: ForeignResponse | None = None
--- a/packages/callers/src/endivesaddle/callers/forward_app.py
+++ b/packages/callers/src/endivesaddle/callers/forward_app.py
@@ -16,9 +16,9 @@
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.overload.overload import Arrival, Overload
 from endivesaddle.fleet.overload.traffic import PACKET_BYTES, CallerConnection
+from endivesaddle.fleet.routes.caller_answer import refuse_unsent
 from endivesaddle.fleet.routes.declaration_index import DeclarationIndex
 from endivesaddle.fleet.routes.departures import Caller, Connection, SeenBy
-from endivesaddle.fleet.routes.execution import refuse as refuse_forwarded
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, Pairs
 from endivesaddle.fleet.routes.header_names import LENGTH, HeaderNames
 from endivesaddle.fleet.routes.routing_state import RoutingState
@@ -173,7 +173,7 @@
         sink.connection = connection
         request = self._admit(await self._read(exchange))
         if isinstance(request, Refusal):
-            await refuse_forwarded(caller.request_id, sink, request)
+            await refuse_unsent(caller.request_id, sink, request)
             return
         sink.kind = request.route.repeat.value
         async with anyio.create_task_group() as group:
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -6,13 +6,14 @@
 """
 
 import enum
-from collections.abc import Sequence
 from functools import partial
 from typing import Any, NamedTuple
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.interfaces import NeverSent, ServerLeft, ServerLost, ServerRefused
 from endivesaddle.fleet.routes import run_events as events
+from endivesaddle.fleet.routes.attempts import MISDIRECTED, Proof, judge
+from endivesaddle.fleet.routes.caller_answer import DEADLINE, CallerAnswer
 from endivesaddle.fleet.routes.crash_detection import CrashDetector, LostRun
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.departures import Caller, CallerLeft, Stage
@@ -25,23 +26,18 @@
     Sink,
     foreign_response,
 )
-from endivesaddle.fleet.routes.not_run_proofs import NotRunProof
 from endivesaddle.fleet.routes.progress import Progress
 from endivesaddle.fleet.routes.stream_resumption import StreamResumption
 from endivesaddle.fleet.routing.dispatcher import Dispatcher, Placement
 from endivesaddle.fleet.routing.retry_share import RetryDecision
-from endivesaddle.fleet.sentinels import HAS_RUN, NOT_RUN, RUN_UNKNOWN, Refusal
+from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
 
 MIN_REMAINING_S = 0.02
 """A request with less time left is not sent: no server could answer it."""
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-"""Statuses that tell a caller that its request did not run."""
 FIRST_SERVER_ERROR = 500
 SUCCESS_STATUSES = range(200, 300)
 
-BAD_GATEWAY = 502
 UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
 
 USED_UP = 'the retry share of the service is used up'
 
@@ -74,24 +70,6 @@
     streams: StreamResumption
 
 
-async def refuse(
-    request_id: str, sink: Sink, refusal: Refusal, proofs: Sequence[NotRunProof] = ()
-) -> None:
-    """Answer a request with an error of the router; ``proofs`` are of its attempts."""
-    fields = {
-        'request_id': request_id,
-        'code': refusal.code,
-        'reason': refusal.reason,
-        'not_run': refusal.not_run,
-    }
-    if refusal.not_run == NOT_RUN and any(proof.sent for proof in proofs):
-        # Counted apart from the other refusals, of which the log may leave some out.
-        events.REFUSED_AFTER_SENDING.log(**fields, attempts=[one.logged() for one in proofs])
-    else:
-        events.REFUSED.log(**fields)
-    await sink.refuse(refusal)
-
-
 class Execution:
     """The execution of one request, over all its attempts."""
 
@@ -108,6 +86,8 @@
         self._parts = parts
         self._sink = sink
         self._progress = progress
+        self._attempts = progress.attempts
+        self._answer = CallerAnswer(request.request_id, sink, progress.attempts)
         self._caller = caller
         self._fallback: CompleteResponse | None = None
         self._first_event_unix_s = 0.0
@@ -117,7 +97,6 @@
         self._sent_unix_s = 0.0
         self._retry_decision: RetryDecision | None = None
         self._unsent_retry: RetryDecision | None = None
-        self._proofs: list[NotRunProof] = []
 
     async def run(self) -> None:
         """Send the request until it is answered or can't be retried.
@@ -134,13 +113,11 @@
         """Answer a request whose deadline has passed."""
         if self._current_server is not None:
             self._parts.crashes.run_timed_out(self._lost_run(self._current_server))
-        if self._progress.started:
+        if self._answer.started:
             self._log_broken('the deadline has passed')
             return
-        run_state = (
-            (RUN_UNKNOWN, GATEWAY_TIMEOUT) if self._progress.runs else (NOT_RUN, UNAVAILABLE)
-        )
-        await self._refuse(Refusal('deadline', 'the deadline has passed', *run_state))
+        refusal = Refusal('deadline', 'the deadline has passed', NOT_RUN, UNAVAILABLE)
+        await self._answer.refuse(refusal, DEADLINE)
 
     async def _run(self) -> None:
         while True:
@@ -152,6 +129,7 @@
                 return
             self._tried.add(placement.backend.server.lifetime)
             self._current_server = placement.backend.server
+            self._attempts.begin(placement.backend.server.lifetime)
             self._sent_unix_s = self._parts.clock.now_s()
             self._run_first_event_unix_s = 0.0
             outcome = await self._send(placement)
@@ -197,7 +175,7 @@
             self._caller.ended(server.lifetime, self._progress.events)
 
     def _handle_never_sent(self, placement: Placement, error: NeverSent) -> Outcome:
-        self._record_not_run(placement, str(error))
+        self._record_not_run(Proof.NOT_WRITTEN)
         if not isinstance(error, ServerLeft):
             placement.mark_unreachable(isinstance(error, ServerRefused))
         return self._log_failed(placement, Outcome.NOT_SENT, str(error))
@@ -240,7 +218,7 @@
         if not placement.may_send() or not self._renew_retry():
             return False
         self._caller.sent(placement.backend.server.lifetime)
-        self._progress.start_run()
+        self._attempts.mark_sent()
         return True
 
     def _renew_retry(self) -> bool:
@@ -285,17 +263,18 @@
             return self._log_failed(
                 placement, Outcome.LOST, 'the response belongs to another request'
             )
-        if response.misdirected:
-            self._record_not_run(placement, 'another server has the address', response)
-            placement.mark_misdirected()
-            return self._log_failed(
-                placement, Outcome.DECLINED, 'the address belongs to another server'
-            )
-        placement.apply_signals(response)
-        if response.declined:
-            self._record_not_run(placement, 'the server declined', response)
-            placement.count_declined()
-            return self._log_failed(placement, Outcome.DECLINED, f'declined with {response.status}')
+        return await self._handle_own(placement, response)
+
+    async def _handle_own(self, placement: Placement, response: ServerResponse) -> Outcome:
+        """Handle the response to this request."""
+        _learn_of_server(placement, response)
+        if response.sealed:
+            self._attempts.mark_ran()
+        judgement = judge(response)
+        if judgement.proof is not Proof.NONE:
+            return self._handle_refused(placement, response, judgement.proof)
+        if judgement.flaw:
+            return await self._handle_unproven(placement, response, judgement.flaw)
         if response.encoded:
             return self._log_failed(placement, Outcome.LOST, 'the body was encoded on the way')
         if response.status in SUCCESS_STATUSES and not response.sealed:
@@ -306,21 +285,57 @@
             return await self._relay_stream(placement, response)
         return await self._relay_complete(placement, response)
 
+    def _handle_refused(
+        self, placement: Placement, response: ServerResponse, proof: Proof
+    ) -> Outcome:
+        self._record_not_run(proof, response.status)
+        if proof is Proof.MISDIRECTED:
+            reason = 'the address belongs to another server'
+        else:
+            placement.count_declined()
+            reason = f'declined with {response.status}'
+        return self._log_failed(placement, Outcome.DECLINED, reason)
+
+    async def _handle_unproven(
+        self, placement: Placement, response: ServerResponse, flaw: str
+    ) -> Outcome:
+        """Handle a response that says, but does not prove, that the request did not run."""
+        events.UNPROVEN_REFUSAL.log(
+            request_id=self.request.request_id,
+            server=placement.backend.server.lifetime,
+            sending=len(self._tried),
+            status=response.status,
+            declined=response.declined,
+            sealed=response.sealed,
+            flaw=flaw,
+        )
+        if response.status not in SUCCESS_STATUSES:
+            # A response that is read to its end leaves the connection usable.
+            await response.whole()
+        return self._log_failed(placement, Outcome.LOST, f'it answered {response.status} {flaw}')
+
+    def _record_not_run(self, proof: Proof, status: int = 0) -> None:
+        if self._attempts.mark_not_run(proof, status):
+            events.ATTEMPT_NOT_RUN.log(
+                request_id=self.request.request_id,
+                **self._attempts.last(),
+                runs=self._progress.runs,
+            )
+
     async def _relay_stream(self, placement: Placement, response: ServerResponse) -> Outcome:
         async for event in response.events():
             placement.first_event()
             self._run_first_event_unix_s = self._run_first_event_unix_s or self._parts.clock.now_s()
             if not self._progress.accept_event(event):
                 continue
-            if not self._progress.started:
+            if not self._answer.started:
                 self._first_event_unix_s = self._parts.clock.now_s()
-                self._progress.started = True
                 self._caller.stage = Stage.STREAMING
                 self.request = self._parts.streams.begin(self.request, placement.backend.server)
-                await self._sink.start(response.status, response.headers)
+                await self._answer.start(response.status, response.headers)
             await self._sink.write(event)
-        if not self._progress.started:
-            await self._sink.start(response.status, response.headers)
+        if not self._answer.started:
+            await self._answer.start(response.status, response.headers)
         await self._sink.finish()
         self._log_answered(placement, response.status)
         return Outcome.DONE
@@ -328,27 +343,16 @@
     async def _relay_complete(self, placement: Placement, response: ServerResponse) -> Outcome:
         body = await response.whole()
         complete = CompleteResponse(response.status, response.headers, body)
-        if self._progress.started:
+        if self._answer.started:
             # The caller is reading a stream, into which no second head can be sent.
             return self._log_failed(placement, Outcome.LOST, f'it answered {response.status}')
         if response.status >= FIRST_SERVER_ERROR:
-            if response.status in NOT_RUN_STATUSES:
-                self._log_unproven(placement, response, 'server_lost')
-                return self._log_failed(placement, Outcome.LOST, f'it answered {response.status}')
             self._fallback = complete
             return self._log_failed(placement, Outcome.FAILED, f'it answered {response.status}')
-        if response.status in NOT_RUN_STATUSES:
-            self._log_unproven(placement, response, 'relayed')
-        await self._reply(complete)
+        await self._answer.relay(*complete)
         self._log_answered(placement, complete.status)
         return Outcome.DONE
 
-    async def _reply(self, complete: CompleteResponse) -> None:
-        # A slow caller may still be reading this response when the deadline passes: no other
-        # answer may follow it then.
-        self._progress.started = True
-        await self._sink.reply(complete.status, complete.headers, complete.body)
-
     async def _retry_or_finish(self, outcome: Outcome) -> bool:
         """Return whether to retry after ``outcome``; if not, send the final answer."""
         reason = self._retry_obstacle(outcome)
@@ -389,44 +393,12 @@
 
     async def _finish_unanswered(self, refusal: Refusal) -> None:
         """Send the final answer: a held-back response, or an error that tells whether it ran."""
-        if self._progress.started:
+        if self._answer.started:
             self._log_broken(refusal.reason)
         elif self._fallback:
-            await self._reply(self._fallback)
-        elif self._progress.runs:
-            run_state = HAS_RUN if self._progress.events else RUN_UNKNOWN
-            await self._refuse(Refusal('server_lost', refusal.reason, run_state, BAD_GATEWAY))
+            await self._answer.relay(*self._fallback)
         else:
-            await self._refuse(refusal)
-
-    async def _refuse(self, refusal: Refusal) -> None:
-        await refuse(self.request.request_id, self._sink, refusal, self._proofs)
-
-    def _record_not_run(
-        self, placement: Placement, proof: str, response: ServerResponse | None = None
-    ) -> None:
-        sent = self._caller.stage is Stage.SENT
-        recorded = NotRunProof(placement.backend.server.lifetime, len(self._tried), sent, proof)
-        if response is not None:
-            recorded = recorded._replace(
-                status=response.status, declined=response.declined, sealed=response.sealed
-            )
-        self._proofs.append(recorded)
-        events.ATTEMPT_NOT_RUN.log(
-            request_id=self.request.request_id, **recorded.logged(), runs=self._progress.runs
-        )
-        self._progress.record_not_run()
-
-    def _log_unproven(self, placement: Placement, response: ServerResponse, told: str) -> None:
-        events.UNPROVEN_REFUSAL.log(
-            request_id=self.request.request_id,
-            server=placement.backend.server.lifetime,
-            sending=len(self._tried),
-            status=response.status,
-            declined=response.declined,
-            sealed=response.sealed,
-            told=told,
-        )
+            await self._answer.refuse(refusal)
 
     def _log_broken(self, reason: str) -> None:
         # The caller already has the head.  The connection is closed before the end of the body,
@@ -449,3 +421,11 @@
             first_s=round(first_s, 4),
             took_s=round(now_unix_s - self.request.began_unix_s, 4),
         )
+
+
+def _learn_of_server(placement: Placement, response: ServerResponse) -> None:
+    """Apply what a response to this request says of its server."""
+    if response.status != MISDIRECTED:
+        placement.apply_signals(response)
+    elif not response.sealed:
+        placement.mark_misdirected()
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -165,9 +165,10 @@
     ``own`` is whether it answers this request: if not, it says nothing about it.  ``answered_id``
     is the id of the request that it names, '' for none.  ``skipped`` is the response to another
     request that came before it on its connection, if any.  ``sealed`` is whether it has the
-    server's seal, ``encoded`` whether its body was encoded on the way, ``declined`` whether the
-    server did not run the request and won't.  ``signals`` are the header values that describe the
-    server itself, by the signal's name.
+    server's seal, the receipt of a run, ``encoded`` whether its body was encoded on the way, and
+    ``declined`` whether it has the header of a refusal: ``attempts.judge`` decides whether that
+    proves that the server did not run the request.  ``signals`` are the header values that
+    describe the server itself, by the signal's name.
     Reading the body raises ``ServerLost`` if it ends early.
     """
 
@@ -179,7 +180,6 @@
     sealed: bool
     encoded: bool
     declined: bool
-    misdirected: bool
     signals: Mapping[str, str]
 
     def events(self) -> AsyncIterator[bytes]:
--- a/packages/fleet/src/endivesaddle/fleet/routes/header_names.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/header_names.py
@@ -24,8 +24,9 @@
     """The header names that a platform uses, in lower case.
 
     Only the router sets ``reserved`` headers: those that a caller sends are
-    dropped.  By ``seal`` a server confirms that a response is its own, by
-    ``declined`` that it did not run the request.  ``lifetime`` names the
+    dropped.  By ``seal`` a server confirms that it ran the request and that
+    the response is its own, by ``declined`` that it did not run the request; a response with both
+    proves neither.  ``lifetime`` names the
     incarnation of the server that may run it.  By ``leaving`` (with "1") a server
     announces that this incarnation accepts no more requests, by ``limit`` the
     requests a second that it accepts from all routers together.  ``fetch`` names the
--- a/packages/fleet/src/endivesaddle/fleet/routes/progress.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/progress.py
@@ -1,5 +1,6 @@
 """Progress of a forwarded request, and the most that it can have cost so far."""
 
+from endivesaddle.fleet.routes.attempts import Attempts
 from endivesaddle.fleet.routes.forwarded import ForwardRequest
 
 _NUMBER = b'id:'
@@ -13,27 +14,16 @@
 
     def __init__(self, request: ForwardRequest, event_tokens: int) -> None:
         """Initialize for an unsent request whose events hold at most ``event_tokens`` each."""
-        self.runs = 0
+        self.attempts = Attempts()
         self.events = 0
         self.last_event = request.last_event
-        self.started = False
-        self._run_counted = False
         self._request = request
         self._event_tokens = event_tokens
 
-    def start_run(self) -> None:
-        """Count a run: the request goes to a server, which may run it from now on."""
-        self.runs += 1
-        self._run_counted = True
-
-    def record_not_run(self) -> None:
-        """Uncount the last attempt: the server did not get the request, or declined to run it.
-
-        Runs are counted when the request is sent, not when a server answers: otherwise a
-        request that hung until its deadline was reported as not run, and its caller ran it twice.
-        """
-        self.runs -= self._run_counted
-        self._run_counted = False
+    @property
+    def runs(self) -> int:
+        """How many attempts may have run."""
+        return self.attempts.runs
 
     def accept_event(self, event: bytes) -> bool:
         """Count an event; return False if the caller already has it from an earlier run."""
--- a/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/run_events.py
@@ -40,7 +40,7 @@
     2714,
     'INFO',
     'forward_attempt_not_run',
-    'an attempt is counted as not run; what proved that, and whether this attempt was sent',
+    'an attempt that was sent is counted as not run, and what proved that',
 )
 REFUSED_AFTER_SENDING = event(
     2715,
--- a/packages/fleet/src/endivesaddle/fleet/routes/running.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/running.py
@@ -4,9 +4,10 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes import run_events as events
+from endivesaddle.fleet.routes.caller_answer import refuse_unsent
 from endivesaddle.fleet.routes.crash_detection import CrashDetector
 from endivesaddle.fleet.routes.departures import Caller, CallerLeft, Departures, Stage
-from endivesaddle.fleet.routes.execution import Execution, ExecutionParts, refuse
+from endivesaddle.fleet.routes.execution import Execution, ExecutionParts
 from endivesaddle.fleet.routes.forwarded import ForwardRequest, ServerConnections, Sink
 from endivesaddle.fleet.routes.prepaid_pools import PrepaidPools
 from endivesaddle.fleet.routes.progress import Progress
@@ -48,13 +49,13 @@
         caller = caller or self.departures.caller(request.request_id)
         refusal = self.parts.dispatcher.check_held_back(request)
         if refusal is not None:
-            await refuse(request.request_id, sink, refusal)
+            await refuse_unsent(request.request_id, sink, refusal)
             return
         if request.takes_up:
             caller.stage = Stage.RESUMING
             taken_up = await self.streams.take_up(request)
             if isinstance(taken_up, Refusal):
-                await refuse(request.request_id, sink, taken_up)
+                await refuse_unsent(request.request_id, sink, taken_up)
                 return
             request = taken_up
         reservation: Reservation | Refusal = Reservation(None, 0)
@@ -64,7 +65,7 @@
                 request.account, request.cost_tokens, request.request_id, request.end_unix_s
             )
         if isinstance(reservation, Refusal):
-            await refuse(request.request_id, sink, reservation)
+            await refuse_unsent(request.request_id, sink, reservation)
             return
         progress = Progress(request, self.parts.dispatcher.event_tokens(request))
         try:
