--- a/features/subjects/announcing_servers.py
+++ b/features/subjects/announcing_servers.py
@@ -58,12 +58,11 @@
         self.got += 1
         start = request.index(REQUEST_ID)
         named = request[start : request.index(b'\r\n', start)]
-        return b'HTTP/1.1 %d Said\r\n%s\r\n%s%scontent-length: 4\r\n\r\nbody' % (
-            self.status,
-            named,
-            b'' if NOT_RUN in self.headers else SEAL,
-            self.headers,
-        )
+        headers = self.headers
+        if NOT_RUN not in headers:
+            headers += SEAL
+        head = b'HTTP/1.1 %d Said\r\n%s\r\n%scontent-length: 4\r\n\r\n'
+        return head % (self.status, named, headers) + b'body'
 
 
 class AnnouncingTransport(asyncio.Transport):
