--- a/features/server_connections.feature
+++ b/features/server_connections.feature
@@ -76,6 +76,14 @@
       | unknown            | another's |
       | unnamed            | another's |
 
+  Scenario: A connection whose reading is paused is not reused
+    Failure: the body of a refusal was complete but not read, so that reading stayed paused, and the
+    next request on the connection waited for its deadline.
+    Given a server whose answers are: declines, whole
+    When it is sent a request for each
+    Then the router got: declined, body
+    And 2 connections were opened
+
   Scenario: An interim response is skipped
     Given a server whose answers are: interim, whole
     When it is sent a request for each
--- a/features/subjects/server_connections.py
+++ b/features/subjects/server_connections.py
@@ -10,6 +10,7 @@
 
 from endivesaddle.backend_servers.connection_pool import ConnectionPool
 from endivesaddle.backend_servers.forward_client import ForwardClient
+from endivesaddle.backend_servers.server_connection import MAX_BUFFERED_BYTES
 from endivesaddle.fleet.clock import MonotonicClock
 from endivesaddle.fleet.interfaces import NeverSent, ServerLost, ServerRefused
 from endivesaddle.fleet.routes.declared import Repeat, Route, RouteAccount, RouteServer, Target
@@ -20,6 +21,7 @@
 TARGET = '/b/%C3%A4;x=1//y?q=%2F&r'
 SMALL = b'small'
 LARGE = b'y' * (3 << 20)
+DECLINED_BYTES = MAX_BUFFERED_BYTES + 1000
 ANSWER = b'HTTP/1.1 200 OK\r\nendivesaddle-request-id: %d\r\nendivesaddle-seal: x\r\n%s\r\n%s'
 OTHERS = ANSWER % (999, b'content-length: 5\r\n', b'other')
 CHUNKED = b'transfer-encoding: chunked\r\n'
@@ -151,6 +153,12 @@
     peer.writer.write(peer.whole())
 
 
+async def declines(peer: Peer) -> None:
+    """Decline the request with a body that is larger than what is read ahead."""
+    refusal = b'content-length: %d\r\nendivesaddle-not-run: 1\r\n' % DECLINED_BYTES
+    peer.writer.write(peer.answer(refusal, b'x' * DECLINED_BYTES))
+
+
 async def repeats_twice(peer: Peer) -> None:
     """Repeat the response to the request before twice, then respond."""
     late = repeated(peer, b'content-length: 5\r\n', b'other')
@@ -224,6 +232,7 @@
             repeats,
             repeats_slowly,
             repeats_refusal,
+            declines,
             repeats_twice,
             repeats_unframed,
             repeats_and_closes,
@@ -306,6 +315,10 @@
             async with client.exchange(call) as answer:
                 if not answer.own:
                     return "another's"
+                if answer.declined:
+                    # As a router does, which reads no more of it.
+                    await _turns()
+                    return 'declined'
                 return (await answer.whole()).decode()
         except NeverSent:
             return 'never sent'
