--- a/features/subjects/announcing_servers.py
+++ b/features/subjects/announcing_servers.py
@@ -28,6 +28,7 @@
 LEAVES = b'endivesaddle-leaving: 1\r\n'
 NOT_RUN = b'endivesaddle-not-run: 1\r\n'
 SEAL = b'endivesaddle-seal: x\r\n'
+RESPONSE = b'HTTP/1.1 %d Said\r\n%s\r\n%scontent-length: 4\r\n\r\nbody'
 ROUTE = Route('boards', 'host', '/b/', Repeat.SAFE, 4000, 500, 1, (Target(SERVICE, 1),), 3)
 
 
@@ -61,8 +62,7 @@
         headers = self.headers
         if NOT_RUN not in headers:
             headers += SEAL
-        head = b'HTTP/1.1 %d Said\r\n%s\r\n%scontent-length: 4\r\n\r\n'
-        return head % (self.status, named, headers) + b'body'
+        return RESPONSE % (self.status, named, headers)
 
 
 class AnnouncingTransport(asyncio.Transport):
