Take a 421 in which another server names itself for a refusal

Cause: a misdirected request is refused with 421 and the name of the server that got it, without the header of a refusal; since only that header counted, such a request would have ended with 502 where another server could have run it. Change: a 421 without a seal, in which another server than the expected one names itself, proves that the request did not run; any other 421 without the header proves nothing. Result: forward_runs.feature and server_statements.feature have both cases.

--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -158,6 +158,7 @@
       | unreached | forward_refused               | nothing                                               |
       | declines  | forward_refused_after_sending | the server refused it                                 |
       | moved     | forward_refused_after_sending | another server at the address refused it              |
+      | readdressed | forward_refused_after_sending | another server at the address refused it            |
       | closed    | forward_refused_after_sending | the connection closed before the request was written |
 
   Scenario Outline: A status that says that a request did not run needs proof
@@ -179,6 +180,7 @@
       | unsafe   | promises           |
       | unsafe   | relocated          |
       | unsafe   | relocated_unsealed |
+      | unsafe   | readdressed_sealed |
       | unsafe   | declined_sealed    |
       | unsafe   | declined_success   |
       | unsafe   | declined_unnamed   |
--- a/features/server_statements.feature
+++ b/features/server_statements.feature
@@ -14,6 +14,7 @@
       | 408    | id one, refusal 1      | that it did not run |
       | 421    | id one, refusal 1      | that it did not run |
       | 400    | id one, refusal 1      | that it did not run |
+      | 421    | id one, server other   | that it did not run |
       | 503    | id one, id one, refusal 1 | that it did not run |
 
     Examples: No proof
@@ -21,6 +22,9 @@
       | 503    | id one                         | nothing |
       | 429    | id one, seal x                 | nothing |
       | 421    | id one                         | nothing |
+      | 421    | id one, server expected        | nothing |
+      | 421    | id one, server other, seal x   | nothing |
+      | 503    | id one, server other           | nothing |
       | 503    | id one, refusal 1, seal x      | nothing |
       | 421    | id one, refusal 1, seal x      | nothing |
       | 200    | id one, refusal 1              | nothing |
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -53,7 +53,7 @@
     }
 )
 SEAL = (('seal', 'server'),)
-NOT_RUN_THERE = frozenset(('declines', 'moved', 'unreached', 'closed'))
+NOT_RUN_THERE = frozenset(('declines', 'moved', 'readdressed', 'unreached', 'closed'))
 """Behaviours that don't run the request."""
 PROMISES = frozenset((408, 421, 429, 503))
 """Statuses by which a caller is told that its request did not run."""
@@ -72,6 +72,7 @@
         self.encoded = False
         self.sealed = True
         self.declined = False
+        self.from_other_server = False
         self.signals: dict[str, str] = {}
         self._from = call.last_event + 1
         self._breaks_after = breaks_after
@@ -190,6 +191,20 @@
     return answer
 
 
+def readdressed(call: ServerCall) -> ScriptedAnswer:
+    """Answer as another server at the same address, which names itself."""
+    answer = relocated_unsealed(call)
+    answer.from_other_server = True
+    return answer
+
+
+def readdressed_sealed(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer like ``readdressed`` with the seal of a run."""
+    answer = readdressed(call)
+    answer.sealed = True
+    return answer
+
+
 def strays(call: ServerCall) -> ScriptedAnswer:
     """Answer with the response to another request."""
     answer = ScriptedAnswer(call)
@@ -241,6 +256,8 @@
             invalid,
             relocated,
             relocated_unsealed,
+            readdressed,
+            readdressed_sealed,
             declined_sealed,
             declined_success,
             declined_failure,
--- a/features/subjects/server_statements.py
+++ b/features/subjects/server_statements.py
@@ -10,7 +10,14 @@
 from endivesaddle.fleet.routes.header_names import HeaderNames
 
 NAMES = HeaderNames()
-HEADERS = MappingProxyType({'id': NAMES.request_id, 'refusal': NAMES.declined, 'seal': NAMES.seal})
+HEADERS = MappingProxyType(
+    {
+        'id': NAMES.request_id,
+        'refusal': NAMES.declined,
+        'seal': NAMES.seal,
+        'server': NAMES.answering,
+    }
+)
 
 
 class NamedRequest(NamedTuple):
@@ -19,10 +26,17 @@
     request_id: str
 
 
+class NamedServer(NamedTuple):
+    """A server, of which only the incarnation matters."""
+
+    lifetime: str = 'expected'
+
+
 class NamedCall(NamedTuple):
-    """One attempt of it."""
+    """One attempt of the request at one server."""
 
     request: NamedRequest
+    server: NamedServer = NamedServer()
 
 
 class StatedResponse:
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -60,6 +60,10 @@
         )
         statements = [value for name, value in pairs if name == header_names.declined]
         self.declined = bool(statements) and NEGATIONS.isdisjoint(statements)
+        self.from_other_server = named.get(header_names.answering, '') not in {
+            '',
+            call.server.lifetime,
+        }
         self.signals: Mapping[str, str] = {
             name: named[header] for name, header in header_names.signals.items() if header in named
         }
--- a/packages/fleet/src/endivesaddle/fleet/routes/attempts.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/attempts.py
@@ -54,20 +54,26 @@
     """Judge whether a response to this request proves that the server did not run it.
 
     Only a refusal proves that: a response with the header and the status of one, which names this
-    request and lacks the seal, the receipt of a run.  Where these disagree, it may have run.
+    request and lacks the seal, the receipt of a run.  Where these disagree, it may have run.  In
+    place of the header, a misdirected request is refused by the name of the server that got it.
     """
     flaw = _flaw(response)
-    if flaw or not (response.declined and response.answered_id):
+    if flaw or not (_refuses(response) and response.answered_id):
         return Judgement(Proof.NONE, flaw)
     return Judgement(Proof.MISDIRECTED if response.status == MISDIRECTED else Proof.REFUSED)
 
 
+def _refuses(response: ServerResponse) -> bool:
+    misdirected = response.status == MISDIRECTED and response.from_other_server
+    return response.declined or misdirected
+
+
 def _flaw(response: ServerResponse) -> str:
     if response.declined and response.status not in REFUSAL_STATUSES:
         return 'with the header of a refusal, and the status of a run'
-    if response.declined and response.sealed:
-        return 'with the header of a refusal, and the seal of a run'
-    if response.status in PROMISES and not response.declined:
+    if _refuses(response) and response.sealed:
+        return 'with a refusal, and the seal of a run'
+    if response.status in PROMISES and not _refuses(response):
         return 'without the header of a refusal'
     if response.status in PROMISES and not response.answered_id:
         return 'without a request id'
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -180,6 +180,7 @@
     sealed: bool
     encoded: bool
     declined: bool
+    from_other_server: bool
     signals: Mapping[str, str]
 
     def events(self) -> AsyncIterator[bytes]:
--- a/packages/fleet/src/endivesaddle/fleet/routes/header_names.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/header_names.py
@@ -27,7 +27,8 @@
     dropped.  By ``seal`` a server confirms that it ran the request and that
     the response is its own, by ``declined`` that it did not run the request; a response with both
     proves neither.  ``lifetime`` names the
-    incarnation of the server that may run it.  By ``leaving`` (with "1") a server
+    incarnation of the server that may run it, ``answering`` in a response that of the server that
+    answers.  By ``leaving`` (with "1") a server
     announces that this incarnation accepts no more requests, by ``limit`` the
     requests a second that it accepts from all routers together.  ``fetch`` names the
     address of the engine that has shared parts of the prompt cached.  By ``resumes`` a caller
@@ -42,6 +43,7 @@
     seal: str = 'endivesaddle-seal'
     account: str = 'endivesaddle-account'
     lifetime: str = 'endivesaddle-lifetime'
+    answering: str = 'endivesaddle-answering'
     declined: str = 'endivesaddle-not-run'
     leaving: str = 'endivesaddle-leaving'
     limit: str = 'endivesaddle-limit'
@@ -74,4 +76,10 @@
     @property
     def read_from_responses(self) -> tuple[str, ...]:
         """The response headers that the router reads."""
-        return (self.request_id, self.seal, self.declined, *self.signals.values())
+        return (
+            self.request_id,
+            self.seal,
+            self.declined,
+            self.answering,
+            *self.signals.values(),
+        )
