Log an unreadable record of grants once for each version

Cause: each try to write grants, every 2 seconds, logged that the record is unreadable as a failed write (grant_unwritten), and the collector of claims kept a list of logged values of its own. Change: an allocator notes unreadable values in one place, by key and version. Result: unreadable_values.feature: the scenario failed before (one of six versions was named, the failed writes repeated), passes now; shares, grant_writes and supply pass.

--- a/features/steps/unreadable_values_steps.py
+++ b/features/steps/unreadable_values_steps.py
@@ -87,6 +87,8 @@
 @when('an allocator is asked for tokens while its record is each unreadable value')
 def draw(context: Any) -> None:
     """Draw beside each value."""
+    context.logged = LoggedEvents()
+    context.add_cleanup(context.logged.close)
     context.allocator = unreadable_tasks.AllocatorBesideUnreadable()
     context.allocator.draw()
 
@@ -99,6 +101,15 @@
     assert context.allocator.left == values
 
 
+@then('the log names each version of the record once')
+def named_once(context: Any) -> None:
+    """Check that no other line repeats the failure."""
+    found = [one['version'] for one in context.logged.fields('declarations_unreadable')]
+    assert len(found) == len(set(found)), found
+    assert len(found) == len(context.allocator.left), found
+    assert not context.logged.fields('grant_unwritten'), context.logged.names()
+
+
 @then('it gives tokens once the record is readable again')
 def gives_later(context: Any) -> None:
     """Check the last draw."""
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -69,6 +69,11 @@
     Then it gives out none, keeps running, and the record is as it was
     And it gives tokens once the record is readable again
 
+  Scenario: An unreadable record of grants is logged once for each version
+    Failure: each try to write grants logged it anew, every 2 seconds.
+    When an allocator is asked for tokens while its record is each unreadable value
+    Then the log names each version of the record once
+
   Scenario Outline: Each reader turns an unreadable value into the error of its layer
     When <reader> reads each unreadable value
     Then it ends each time with a value or with <error>
--- a/packages/fleet/src/endivesaddle/fleet/routes/allocator.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/allocator.py
@@ -14,6 +14,7 @@
 from endivesaddle.fleet.routes.claim_collector import ClaimCollector
 from endivesaddle.fleet.routes.grant_group import GROUPS, AllocatorContext, GrantGroup, group_of
 from endivesaddle.fleet.routes.grants import REST_DIVISOR, Grant
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.wire import rpcs
 from endivesaddle.wire.routers_pb2 import DrawAnswer, DrawReply, DrawRequest, DrawWord
 
@@ -60,8 +61,9 @@
         """Initialize without grants."""
         self.leaving = False
         self._context = context
-        self._groups = [GrantGroup(number, context) for number in range(GROUPS)]
-        self._claim_collector = ClaimCollector(context, self._groups)
+        unreadable = UnreadableValues()
+        self._groups = [GrantGroup(number, context, unreadable) for number in range(GROUPS)]
+        self._claim_collector = ClaimCollector(context, self._groups, unreadable)
         self._asked_unix_s: dict[int, float] = {}
         self._drawn: dict[str, dict[str, _Drawn]] = {}
         self._called_unix_s: dict[str, float] = {}
--- a/packages/fleet/src/endivesaddle/fleet/routes/claim_collector.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/claim_collector.py
@@ -37,12 +37,20 @@
 class ClaimCollector:
     """Asks routers, in the first seconds after an allocator has started, for their claims."""
 
-    def __init__(self, context: AllocatorContext, groups: Sequence[GrantGroup]) -> None:
-        """Ask on behalf of ``context``, and pass the claims to ``groups``."""
+    def __init__(
+        self,
+        context: AllocatorContext,
+        groups: Sequence[GrantGroup],
+        unreadable: UnreadableValues,
+    ) -> None:
+        """Ask on behalf of ``context``, and pass the claims to ``groups``.
+
+        Unreadable values are noted in ``unreadable``.
+        """
         self._context = context
         self._groups = groups
         self._unclaimed: dict[str, set[str]] = defaultdict(set)
-        self._unreadable = UnreadableValues()
+        self._unreadable = unreadable
         self._calls = anyio.CapacityLimiter(MAX_CALLS)
 
     async def run(self) -> None:
--- a/packages/fleet/src/endivesaddle/fleet/routes/grant_group.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/grant_group.py
@@ -14,7 +14,7 @@
 
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.errors import StoreUnreachable, StoreWriteUnconfirmed
-from endivesaddle.fleet.ports import Peers
+from endivesaddle.fleet.ports import Peers, Stored
 from endivesaddle.fleet.routes import events
 from endivesaddle.fleet.routes.grants import (
     MIN_CHANGE_TOKENS,
@@ -27,6 +27,7 @@
     encode,
 )
 from endivesaddle.fleet.routes.remote_store import ForwardStore
+from endivesaddle.fleet.routes.unreadable_values import UnreadableValues
 from endivesaddle.fleet.routes.write_intervals import AllocatorSettings, WriteIntervals
 from endivesaddle.fleet.sentinels import Absent, Conflict
 
@@ -78,8 +79,13 @@
 class GrantGroup:
     """An allocator's grants of one group of accounts; only the task of ``run`` writes them."""
 
-    def __init__(self, number: int, context: AllocatorContext) -> None:
-        """Initialize without accounts; the record is not read yet."""
+    def __init__(
+        self, number: int, context: AllocatorContext, unreadable: UnreadableValues
+    ) -> None:
+        """Initialize without accounts; the record is not read yet.
+
+        An unreadable record is noted in ``unreadable``.
+        """
         self.grants: dict[str, Grant] = {}
         self.routers: set[str] = set()
         self.recorded_routers: frozenset[str] = frozenset()
@@ -92,6 +98,7 @@
         self._version = 0
         self._records = NO_RECORDS
         self._read = False
+        self._unreadable = unreadable
         self._read_unix_s = 0.0
         self._unavailable_until_unix_s = 0.0
         self._write_requested = anyio.Event()
@@ -141,8 +148,12 @@
         self._started_count += 1
         try:
             await self._write_if_needed()
-        except (StoreUnreachable, GrantsUnreadable) as error:
-            # An unreadable record is never written over: it may hold grants of others.
+        except GrantsUnreadable:
+            # It is never written over: it may hold grants of others.
+            self._read = False
+            self.failed = True
+            self._unavailable_until_unix_s = self._context.clock.now_s() + UNAVAILABLE_S
+        except StoreUnreachable as error:
             self._failed(str(error))
             self._unavailable_until_unix_s = self._context.clock.now_s() + UNAVAILABLE_S
         except StoreWriteUnconfirmed as error:
@@ -274,12 +285,19 @@
 
     def _apply(self, version: int, value: bytes | None) -> None:
         self._version = version
-        self._records = decode(value) if value else NO_RECORDS
+        self._records = self._decoded(version, value) if value else NO_RECORDS
         self._read = True
         self._read_unix_s = self._context.clock.now_s()
         for name, grant in self.grants.items():
             grant.update(self._records.of(name))
 
+    def _decoded(self, version: int, value: bytes) -> Records:
+        try:
+            return decode(value)
+        except GrantsUnreadable as error:
+            self._unreadable.note(Stored(self._key, value, version), error)
+            raise
+
     async def _swap(self, wanted: dict[str, int]) -> bool:
         """Write the grants; False if another allocator wrote first.
 
