--- a/features/subjects/odd_processes.py
+++ b/features/subjects/odd_processes.py
@@ -127,6 +127,7 @@
         named = headers[b'expect-instance'].decode('latin-1')
         self.reached.append(named)
         echoed = (b'attempt-id', headers[b'attempt-id'])
-        status = 200 if named == LATER else 421
-        await send({'type': 'http.response.start', 'status': status, 'headers': [SEAL, echoed]})
+        own = (200, SEAL) if named == LATER else (421, (b'instance-id', LATER.encode()))
+        start = {'type': 'http.response.start', 'status': own[0], 'headers': [own[1], echoed]}
+        await send(start)
         await send({'type': 'http.response.body', 'body': b'done'})
