Note when a server's data last came over a connection

Cause: a router can't tell whether the process behind a connection is there still, nor which one it is. Change: ServerConnection has the time of its last data, whether it is open, and the incarnation behind it once that is proven.

--- a/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/server_connection.py
@@ -51,12 +51,18 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection; it may be reused until ``idle_until_s`` on the clock of the event loop."""
+    """One connection; it may be reused until ``idle_until_s`` on the clock of the event loop.
+
+    ``incarnation`` is that of the server behind it, '' while it is not proven; ``received_s`` is
+    when data last came, on the same clock.
+    """
 
     def __init__(self, traffic: Traffic | None = None) -> None:
         """Initialize without a transport; its bytes are counted in ``traffic``."""
         self._traffic = traffic or Traffic()
         self.idle_until_s = 0.0
+        self.incarnation = ''
+        self.received_s = 0.0
         self._transport: asyncio.Transport | None = None
         self._answer: RawResponse | None = None
         self._in_exchange = False
@@ -75,6 +81,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the current response."""
         self._traffic.received_bytes += len(data) + PACKET_BYTES
+        self.received_s = asyncio.get_running_loop().time()
         if self._answer is None or not self._in_exchange:
             # Unexpected data: a late second response or stray bytes.
             self.abort()
@@ -114,13 +121,18 @@
         """Expect no more data until the next request."""
         self._in_exchange = False
 
+    @property
+    def open(self) -> bool:
+        """Whether neither side is known to have closed it."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def idle(self) -> bool:
         """Return whether another request may be sent: the last response ended without extra data.
 
         The socket is checked too: the server's close may be unread in its buffer, and a request
         sent after it would be lost.
         """
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or not self.open:
             return False
         if self._answer is not None and not self._answer.parser.reusable:
             return False
