Prove a server's incarnation before streams that can continue are sent to it

Cause: the version of a server was believed from its entry. A server that starts again under its id keeps the entry of its former incarnation until it has written a new one, 1.2 s later. Until then streams of the former version went on there, and streams that began there were recorded with the wrong version. Routers that were killed and started again meanwhile had not seen anything break. Change: a connection ends with the process that accepted it, so that the server's own report on it proves the incarnation (`born`) as long as it is open. Streams that can continue are sent over proven connections only; a new one needs no report while data comes over a proven one. A server without readable reports counts as that of its entry unless a connection to it was refused or broke in the last 5 s. A server that is not proven gets no such stream for 1 s; other requests are not affected.

--- /dev/null
+++ b/features/server_reports.feature
@@ -0,0 +1,49 @@
+Feature: What servers report about themselves proves which incarnation a connection leads to
+  A server may start again under its id and address, with another software version and with its former
+  entry still in the store.
+
+  Scenario: A kept connection is asked once
+    Given a server that reports when it was born
+    When it gets 3 streams in turn
+    Then 3 streams were read whole after 1 reports
+
+  Scenario: Connections that are opened beside a stream need no report of their own
+    Given a server that reports when it was born
+    When it gets 6 streams, each before the end of the one before
+    Then 6 streams were read whole after 1 reports
+
+  Scenario: A server that has started again gets no stream for its former incarnation
+    Given a server that reports when it was born
+    When it starts again and gets 2 streams in turn
+    Then 0 streams were read whole after 2 reports
+
+  Scenario: A broken connection shuts no server out that reports when it was born
+    Given a server that reports when it was born
+    When it breaks a stream and gets 2 streams in turn
+    Then 2 streams were read whole after 2 reports
+
+  Scenario Outline: A server that reports <report> is used until a connection breaks
+    Given a server that reports <report>
+    When it gets 2 streams in turn
+    Then 2 streams were read whole after 1 reports
+    When it breaks a stream and gets 2 streams in turn
+    Then 2 streams were read whole after 1 reports
+
+    Examples:
+      | report                   |
+      | nothing                  |
+      | no time of birth         |
+      | a birth that is text     |
+      | brackets without end     |
+      | more than it may         |
+      | nothing and closes       |
+
+  Scenario: A server that does not answer for its report gets no stream
+    Given a server that reports never
+    When it gets 1 streams in turn
+    Then 0 streams were read whole after 1 reports
+
+  Scenario: A server that closes its connection behind a report is asked on another
+    Given a server that reports when it was born, and closes once
+    When it gets 2 streams in turn
+    Then 2 streams were read whole after 2 reports
--- a/features/subjects/signalled_programs.py
+++ b/features/subjects/signalled_programs.py
@@ -155,13 +155,16 @@
         pid = os.getpid()
         ip = f'127.{64 + pid % 128}.{pid // 128 % 250}.{self._count}'
         text = NODE.replace('10.1.0.40', ip).replace('10.200.1.7:8223', self._store_address)
-        path = self._folder / f'{self._count}.toml'
-        path.write_text(text.replace('edge-1', f'{role}-{self._count}'))
-        command = [sys.executable, str(FOLDER / f'{role}.py')]
-        running = await self._launcher.start(
-            f'{role}-{self._count}', command, {'ENDIVESADDLE_NODE_FILE': str(path)}
-        )
-        return running, f'{ip}:8227'
+        name = f'{role}-{self._count}'
+        path = self._folder / f'{name}.toml'
+        path.write_text(text.replace('edge-1', name))
+        return await self.restart(name), f'{ip}:8227'
+
+    async def restart(self, name: str) -> Running:
+        """Start a program again, with the settings file that it had."""
+        command = [sys.executable, str(FOLDER / f'{name.partition("-")[0]}.py')]
+        path = str(self._folder / f'{name}.toml')
+        return await self._launcher.start(name, command, {'ENDIVESADDLE_NODE_FILE': path})
 
     async def until_ready(self, address: str) -> None:
         """Wait until a router has the declarations and the servers."""
--- a/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
@@ -18,6 +18,7 @@
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 Connect = Callable[[str], Awaitable[ServerConnection]]
+Prove = Callable[[ServerConnection], Awaitable[None]]
 
 IDLE_S = 3.0
 """Idle time-out of a connection if its server does not state one."""
@@ -25,6 +26,8 @@
 """Margin subtracted from a server's keep-alive time, so that a request is not sent while the
 server closes the connection."""
 BODILESS = 'HEAD'
+MAX_PROOFS = 2
+"""Servers close a connection behind some of their responses."""
 
 
 class OutgoingRequest(NamedTuple):
@@ -32,7 +35,8 @@
 
     ``may_send`` is called right before sending: does the server still accept requests?  What it
     raises is passed on; the request is not sent then.  ``request_id`` identifies the request in
-    responses, '' if they don't name it.
+    responses, '' if they don't name it.  ``prove`` proves before sending that a connection leads to
+    the right server; it raises ``NeverSent`` if not.
     """
 
     method: str
@@ -41,6 +45,7 @@
     body: bytes
     may_send: Callable[[], bool]
     request_id: str = ''
+    prove: Prove | None = None
 
     def encoded(self) -> bytes:
         """Return its bytes; raise ``NeverSent`` if a header contains a line break."""
@@ -76,7 +81,7 @@
         run.
         """
         encoded = request.encoded()
-        connection = await self._acquire(lifetime, address)
+        connection = await self._acquire_proven(lifetime, address, request.prove)
         try:
             # Checked again after connecting, which may take a second.  Failure: the server
             # announced meanwhile that it leaves or rejects requests, and got the request up
@@ -102,6 +107,23 @@
         """Return the servers with idle connections."""
         return set(self._idle)
 
+    async def _acquire_proven(
+        self, lifetime: str, address: str, prove: Prove | None
+    ) -> ServerConnection:
+        if prove is None:
+            return await self._acquire(lifetime, address)
+        for _ in range(MAX_PROOFS):
+            connection = await self._acquire(lifetime, address)
+            try:
+                await prove(connection)
+            except BaseException:
+                self._release(lifetime, connection)
+                raise
+            if connection.idle():
+                return connection
+            connection.abort()
+        raise NeverSent('the server closes its connections after a report')
+
     async def _acquire(self, lifetime: str, address: str) -> ServerConnection:
         idle = self._idle.get(lifetime, [])
         now_s = asyncio.get_running_loop().time()
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -2,13 +2,15 @@
 
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
+from functools import partial
 
 from endivesaddle.backend_servers.connection_pool import ConnectionPool, OutgoingRequest
+from endivesaddle.backend_servers.incarnation_proofs import IncarnationProofs, ServerReports
 from endivesaddle.backend_servers.server_connection import RawResponse
 from endivesaddle.backend_servers.sse import EventSplitter, EventTooLong
 from endivesaddle.backend_servers.unread_headers import UnreadHeaders
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.interfaces import ServerLost
+from endivesaddle.fleet.interfaces import ServerLost, ServerRefused
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForeignResponse,
@@ -75,9 +77,16 @@
 class ForwardClient:
     """Sends requests over pooled connections."""
 
-    def __init__(self, pool: ConnectionPool, header_names: HeaderNames, clock: Clock) -> None:
-        """Use ``header_names`` for the names of headers."""
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        header_names: HeaderNames,
+        clock: Clock,
+        reports: ServerReports | None = None,
+    ) -> None:
+        """Use ``header_names`` for the names of headers, ``reports`` to prove incarnations."""
         self.pool = pool
+        self.proofs = IncarnationProofs(reports)
         self.unread = UnreadHeaders(header_names)
         self._header_names = header_names
         self._clock = clock
@@ -86,10 +95,12 @@
     async def exchange(self, call: ServerCall) -> AsyncIterator[ForwardedResponse]:
         """Send a request and yield its response.
 
-        Raises ``NeverSent`` if the server did not get the request, ``ServerLost`` if it may have
-        run.
+        A stream that can continue elsewhere runs only at the incarnation that ``call`` names: its
+        version is that of the entry.  Raises ``NeverSent`` if the server did not get the request,
+        ``ServerLost`` if it may have run.
         """
         request = call.request
+        server = call.server
         headers = self._headers(call)
         sent = OutgoingRequest(
             request.method,
@@ -98,17 +109,21 @@
             request.body,
             call.may_send,
             request.request_id,
+            partial(self.proofs.prove, server=server) if request.route.resumable else None,
         )
-        server = call.server
-        async with self.pool.exchange(server.lifetime, server.address, sent) as response:
-            answer = ForwardedResponse(response, call, self._header_names)
-            if not answer.own and response.may_skip(answer.answered_id):
-                skipped = foreign_response(answer)
-                await response.skip()
+        try:
+            async with self.pool.exchange(server.lifetime, server.address, sent) as response:
                 answer = ForwardedResponse(response, call, self._header_names)
-                answer.skipped = skipped
-            self.unread.check(server.lifetime, answer.headers)
-            yield answer
+                if not answer.own and response.may_skip(answer.answered_id):
+                    skipped = foreign_response(answer)
+                    await response.skip()
+                    answer = ForwardedResponse(response, call, self._header_names)
+                    answer.skipped = skipped
+                self.unread.check(server.lifetime, answer.headers)
+                yield answer
+        except (ServerLost, ServerRefused):
+            self.proofs.doubt(server)
+            raise
 
     async def check(self, server: RouteServer) -> None:
         """Connect to a server; the connection stays in the pool for the next request.
--- a/packages/daemon/src/endivesaddle/daemon/forward_parts.py
+++ b/packages/daemon/src/endivesaddle/daemon/forward_parts.py
@@ -2,6 +2,7 @@
 
 from typing import Any, NamedTuple
 
+from endivesaddle.backend_servers.incarnation_proofs import ServerReports
 from endivesaddle.daemon.forwarder_settings import ForwarderSettings
 from endivesaddle.fleet.clock import Clock
 from endivesaddle.fleet.routes.allocator import Allocator
@@ -19,11 +20,12 @@
 
 
 class ForwardPorts(NamedTuple):
-    """What an adapter brings: its store, how it is read, and its header names."""
+    """What an adapter brings: its store, how it is read, header names, and servers' reports."""
 
     store: Any
     decoder: Decoder
     header_names: HeaderNames
+    reports: ServerReports | None = None
 
 
 class Decisions(NamedTuple):
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -55,7 +55,7 @@
         self._overload = OverloadParts(settings, GrpcPeers(settings.links, clock), clock)
         peers = TimedPeers(self._overload.peers, clock)
         self.parts = decisions(settings, ports, peers, clock)
-        self.links = ForwardClient(self._overload.pool(), ports.header_names, clock)
+        self.links = ForwardClient(self._overload.pool(), ports.header_names, clock, ports.reports)
         self.peer_routers = PeerRouters(
             PeerRouterParts(*self.parts[1:5], ports.decoder, place.seeds),
             peers,
@@ -152,6 +152,7 @@
             'counters': {
                 'forward_open': self._app.open_count,
                 'connections_opened': self.links.pool.opened_count,
+                'server_reports_read': self.links.proofs.asked_count,
                 'declared_version': routing_state.declarations.version
                 if routing_state.declarations
                 else 0,
--- a/packages/fleet/src/endivesaddle/fleet/interfaces.py
+++ b/packages/fleet/src/endivesaddle/fleet/interfaces.py
@@ -219,6 +219,10 @@
     """The backend server started to leave before the request was sent."""
 
 
+class ServerReplaced(NeverSent):
+    """The backend server is not, or may not be, the incarnation for which the request is."""
+
+
 class ServerRefused(NeverSent):
     """The backend server refused the connection because its process has ended."""
 
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -10,7 +10,13 @@
 from typing import Any, NamedTuple
 
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.interfaces import NeverSent, ServerLeft, ServerLost, ServerRefused
+from endivesaddle.fleet.interfaces import (
+    NeverSent,
+    ServerLeft,
+    ServerLost,
+    ServerRefused,
+    ServerReplaced,
+)
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.crash_detection import CrashDetector, LostRun
 from endivesaddle.fleet.routes.declared import RouteServer
@@ -185,7 +191,9 @@
 
     def _handle_never_sent(self, placement: Placement, error: NeverSent) -> Outcome:
         self._progress.record_not_run()
-        if not isinstance(error, ServerLeft):
+        if isinstance(error, ServerReplaced):
+            placement.mark_unproven()
+        elif not isinstance(error, ServerLeft):
             placement.mark_unreachable(isinstance(error, ServerRefused))
         return self._log_failed(placement, Outcome.NOT_SENT, str(error))
 
--- a/packages/fleet/src/endivesaddle/fleet/routing/backends.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/backends.py
@@ -21,6 +21,10 @@
 UNREACHABLE_S = 1.0
 """An unreachable server gets no requests for this long, then one attempt."""
 MAX_UNREACHABLE_S = 4.0
+UNPROVEN_S = 1.0
+"""A server that may have started again gets no streams that can continue for this long.
+
+It writes an entry within about a second; then it counts as another incarnation."""
 SIDECAR_REPORT_VALID_S = 0.3
 """A sidecar's report takes precedence for this long; reports of other routers are as old."""
 SEND_WINDOW_S = 1.0
@@ -67,6 +71,7 @@
         self.sidecar_report_unix_s = 0.0
         self.unreachable_until_unix_s = 0.0
         self.rejecting_until_unix_s = 0.0
+        self.unproven_until_unix_s = 0.0
         self._failed_contacts = 0
         self.own_prefilling_tokens = 0
         self._failed_share = 0.0
@@ -154,6 +159,10 @@
         self.unreachable_until_unix_s = now_unix_s + pause_s
         self.record_outcome(success=False, now_unix_s=now_unix_s)
 
+    def mark_unproven(self, now_unix_s: float) -> None:
+        """Record that the server may be another incarnation: its version is not known."""
+        self.unproven_until_unix_s = now_unix_s + UNPROVEN_S
+
     def cold_until_unix_s(self, cold_s: float, now_unix_s: float) -> float:
         """Return until when the server may be cold after it was unreachable, 0 if it is not."""
         if self._may_be_cold:
--- a/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/candidates.py
@@ -50,6 +50,8 @@
         servers = self._allowed(request, self._routing_state.available_servers(service))
         backends = [self._backends.of(one) for one in servers if one.lifetime not in exclude]
         backends = [backend for backend in backends if backend.accepts_requests(now_unix_s)]
+        if request.route.resumable:
+            backends = [one for one in backends if one.unproven_until_unix_s <= now_unix_s]
         backends = [
             backend for backend in backends if backend.unreachable_until_unix_s <= now_unix_s
         ] or backends
@@ -107,7 +109,9 @@
     def _next_send_unix_s(self, backend: Backend, now_unix_s: float) -> float:
         """Return when this router may next send a request to a server, as far as known."""
         return max(
-            backend.rejecting_until_unix_s, self._send_limits.next_send_unix_s(backend, now_unix_s)
+            backend.rejecting_until_unix_s,
+            backend.unproven_until_unix_s,
+            self._send_limits.next_send_unix_s(backend, now_unix_s),
         )
 
 
--- a/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
+++ b/packages/fleet/src/endivesaddle/fleet/routing/dispatcher.py
@@ -112,6 +112,10 @@
         self.backend.mark_unreachable(self._dispatcher.now_s(), process_ended)
         self._dispatcher.prefix_fetch.mark_unreachable(self.backend, process_ended)
 
+    def mark_unproven(self) -> None:
+        """Record that the server may be another incarnation than its entry says."""
+        self.backend.mark_unproven(self._dispatcher.now_s())
+
     def count_declined(self) -> None:
         """Count a request that the server declined for lack of capacity."""
         self._dispatcher.counts['declined'] += 1
