--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -3,15 +3,17 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager
+from functools import partial
 
 from endivesaddle.backend_servers.connection_pool import ConnectionPool, OutgoingRequest
 from endivesaddle.backend_servers.held_bytes import HeldBytes, HeldShare, ResponseTooLong
+from endivesaddle.backend_servers.incarnation_proofs import IncarnationProofs, ServerReports
 from endivesaddle.backend_servers.server_connection import RawResponse
 from endivesaddle.backend_servers.sse import EventSplitter, EventTooLong
 from endivesaddle.backend_servers.unread_headers import UnreadHeaders
 from endivesaddle.fleet.clock import Clock
-from endivesaddle.fleet.interfaces import BodyTooLong, ServerLost
-from endivesaddle.fleet.routes import run_events
+from endivesaddle.fleet.interfaces import BodyTooLong, ServerLost, ServerRefused
+from endivesaddle.fleet.routes import response_events
 from endivesaddle.fleet.routes.declared import RouteServer
 from endivesaddle.fleet.routes.forwarded import (
     ForeignResponse,
@@ -133,10 +135,15 @@
         header_names: HeaderNames,
         clock: Clock,
         held: HeldBytes | None = None,
+        reports: ServerReports | None = None,
     ) -> None:
-        """Use ``header_names`` for the names of headers; responses are held within ``held``."""
+        """Use ``header_names`` for the names of headers, ``reports`` to prove incarnations.
+
+        Responses are held within ``held``.
+        """
         self.pool = pool
         self.held = held or HeldBytes()
+        self.proofs = IncarnationProofs(reports)
         self.unread = UnreadHeaders(header_names)
         self._header_names = header_names
         self._clock = clock
@@ -145,10 +152,12 @@
     async def exchange(self, call: ServerCall) -> AsyncIterator[ForwardedResponse]:
         """Send a request and yield its response.
 
-        Raises ``NeverSent`` if the server did not get the request, ``ServerLost`` if it may have
-        run.
+        A stream that can continue elsewhere runs only at the incarnation that ``call`` names: its
+        version is that of the entry.  Raises ``NeverSent`` if the server did not get the request,
+        ``ServerLost`` if it may have run.
         """
         request = call.request
+        server = call.server
         headers = self._headers(call)
         sent = OutgoingRequest(
             request.method,
@@ -157,8 +166,8 @@
             request.body,
             call.may_send,
             request.request_id,
+            partial(self.proofs.prove, server=server) if request.route.resumable else None,
         )
-        server = call.server
         share = self.held.share()
         try:
             async with self.pool.exchange(server.lifetime, server.address, sent) as response:
@@ -166,7 +175,7 @@
                 answer.held = share
                 yield answer
         except ResponseTooLong as error:
-            run_events.TOO_LONG.log(
+            response_events.TOO_LONG.log(
                 request_id=request.request_id,
                 server=server.lifetime,
                 bound=error.bound,
@@ -174,6 +183,9 @@
                 limit=error.limit,
             )
             raise
+        except (ServerLost, ServerRefused):
+            self.proofs.doubt(server)
+            raise
         finally:
             share.release()
 
--- a/packages/daemon/src/endivesaddle/daemon/forwarder.py
+++ b/packages/daemon/src/endivesaddle/daemon/forwarder.py
@@ -56,7 +56,11 @@
         peers = TimedPeers(self._overload.peers, clock)
         self.parts = decisions(settings, ports, peers, clock)
         self.links = ForwardClient(
-            self._overload.pool(), ports.header_names, clock, self._overload.held_bytes()
+            self._overload.pool(),
+            ports.header_names,
+            clock,
+            self._overload.held_bytes(),
+            ports.reports,
         )
         self.peer_routers = PeerRouters(
             PeerRouterParts(*self.parts[1:5], ports.decoder, place.seeds),
@@ -154,6 +158,7 @@
             'counters': {
                 'forward_open': self._app.open_count,
                 'connections_opened': self.links.pool.opened_count,
+                'server_reports_read': self.links.proofs.asked_count,
                 'declared_version': routing_state.declarations.version
                 if routing_state.declarations
                 else 0,
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -16,7 +16,9 @@
     ServerLeft,
     ServerLost,
     ServerRefused,
+    ServerReplaced,
 )
+from endivesaddle.fleet.routes import response_events
 from endivesaddle.fleet.routes import run_events as events
 from endivesaddle.fleet.routes.attempts import MISDIRECTED, Proof, judge
 from endivesaddle.fleet.routes.caller_answer import DEADLINE, CallerAnswer
@@ -183,7 +185,9 @@
 
     def _handle_never_sent(self, placement: Placement, error: NeverSent) -> Outcome:
         self._record_not_run(Proof.NOT_WRITTEN)
-        if not isinstance(error, ServerLeft):
+        if isinstance(error, ServerReplaced):
+            placement.mark_unproven()
+        elif not isinstance(error, ServerLeft):
             placement.mark_unreachable(isinstance(error, ServerRefused))
         return self._log_failed(placement, Outcome.NOT_SENT, str(error))
 
@@ -351,7 +355,7 @@
         try:
             body = await response.whole()
         except BodyTooLong as error:
-            events.NOT_HELD.log(
+            response_events.NOT_HELD.log(
                 request_id=self.request.request_id,
                 server=placement.backend.server.lifetime,
                 status=response.status,
