Compare what servers state by value, whatever its case and blanks

What callers saw: an unsafe request that a server ran, and answered with "False", "no" or a trailing blank in the header of a refusal, ran a second time; so did one whose 421 named the expected server and another one. Cause: values were compared as they came, and the last of several headers was taken. Change: a refusal is stated by 1 or true alone; a 421 names another server only if it names one alone.

--- a/features/server_statements.feature
+++ b/features/server_statements.feature
@@ -15,6 +15,7 @@
       | 421    | id one, refusal 1      | that it did not run |
       | 400    | id one, refusal 1      | that it did not run |
       | 421    | id one, server other   | that it did not run |
+      | 503    | id one, refusal TRUE   | that it did not run |
       | 503    | id one, id one, refusal 1 | that it did not run |
 
     Examples: No proof
@@ -31,6 +32,11 @@
       | 500    | id one, refusal 1              | nothing |
       | 504    | id one, refusal 1              | nothing |
       | 503    | id one, refusal 0              | nothing |
+      | 503    | id one, refusal False          | nothing |
+      | 503    | id one, refusal no             | nothing |
+      | 503    | id one, refusal 1,0            | nothing |
+      | 421    | id one, server expected, server other | nothing |
+      | 421    | id one, server EXPECTED        | nothing |
       | 503    | id one, refusal 1, refusal 0   | nothing |
 
     Examples: Another request, or none
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -34,8 +34,8 @@
 TURN_EVENTS = 32
 """Events after which other tasks get a turn: a single read may hold thousands of tiny ones."""
 FIRST_SERVER_ERROR = 500
-NEGATIONS = frozenset(('0', 'false'))
-"""Values by which the header of a refusal states none."""
+REFUSES = frozenset(('1', 'true'))
+"""Values by which the header of a refusal states one."""
 SUCCESSES = range(200, 300)
 ENCODING = 'content-encoding'
 
@@ -49,10 +49,10 @@
 
     def __init__(self, response: RawResponse, call: ServerCall, header_names: HeaderNames) -> None:
         """Read the headers of a response; its body is not read yet."""
-        pairs = [
+        pairs = tuple(
             (name.decode('latin-1').lower(), value.decode('latin-1'))
             for name, value in response.headers
-        ]
+        )
         named = dict(pairs)
         self.status = response.status
         # Only the router tells a caller that its request did not run.
@@ -60,12 +60,12 @@
         self.headers: Pairs = tuple(
             pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] not in dropped
         )
-        statements = [value for name, value in pairs if name == header_names.declined]
-        self.declined = bool(statements) and NEGATIONS.isdisjoint(statements)
-        self.from_other_server = named.get(header_names.answering, '') not in {
-            '',
-            call.server.lifetime,
-        }
+        statements = _values(pairs, header_names.declined)
+        self.declined = bool(statements) and statements <= REFUSES
+        answering = _values(pairs, header_names.answering) - {''}
+        self.from_other_server = (
+            len(answering) == 1 and call.server.lifetime.lower() not in answering
+        )
         self.signals: Mapping[str, str] = {
             name: named[header] for name, header in header_names.signals.items() if header in named
         }
@@ -228,6 +228,12 @@
         return [(name.encode('latin-1'), value.encode('latin-1')) for name, value in pairs]
 
 
+def _values(pairs: Pairs, header: str) -> set[str]:
+    """Return the different values of a header, which may be given as lists."""
+    texts = (text for name, text in pairs if name == header)
+    return {value.strip().lower() for text in texts for value in text.split(',')}
+
+
 def _split(splitter: EventSplitter, chunk: bytes) -> Iterator[bytes]:
     try:
         yield from splitter.split(chunk)
