Take no late response for a server's report, and ask again on a new connection

Cause: the first response on the connection was read as the report, whatever it answered; a lost report was handled like a server that can't be connected to. Change: a response that names a request is none to a report; a connection that brings no report is closed, and a new one is asked.

--- a/features/server_reports.feature
+++ b/features/server_reports.feature
@@ -47,3 +47,16 @@
     Given a server that reports when it was born, and closes once
     When it gets 2 streams in turn
     Then 2 streams were read whole after 2 reports
+
+  Scenario: A late refusal is not taken for a report
+    Failure: a server with a repeated refusal of an earlier request counted as one that reports nothing,
+    while streams went to another incarnation.
+    Given a server that reports when it was born, behind a late refusal
+    When it starts again and gets 2 streams in turn
+    Then 0 streams were read whole after 3 reports
+
+  Scenario: A connection that ends before its report takes no server out of use
+    Failure: a kept connection that its server was closing made the server unreachable for all requests.
+    Given a server that reports when it was born, and once closes instead
+    When it gets 2 streams in turn
+    Then 2 streams were read whole after 2 reports
--- a/features/steps/server_reports_steps.py
+++ b/features/steps/server_reports_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from subjects.server_reports import ServerOfStreams
+from subjects.server_reports import CLOSE, LATE_REFUSAL, ServerOfStreams
 
 
 @given('a server that reports {report}, and closes once')
@@ -14,6 +14,20 @@
     context.server.closes_once = True
 
 
+@given('a server that reports {report}, behind a late refusal')
+def start_refusing(context: Any, report: str) -> None:
+    """Start a server that repeats a refusal before its first report."""
+    start(context, report)
+    context.server.first_answer = LATE_REFUSAL
+
+
+@given('a server that reports {report}, and once closes instead')
+def start_vanishing(context: Any, report: str) -> None:
+    """Start a server that closes its connection when it is asked first."""
+    start(context, report)
+    context.server.first_answer = CLOSE
+
+
 @given('a server that reports {report}')
 def start(context: Any, report: str) -> None:
     """Start a server."""
--- a/features/subjects/server_reports.py
+++ b/features/subjects/server_reports.py
@@ -24,6 +24,10 @@
 END = b'0\r\n\r\n'
 NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n%s\r\n'
 CLOSE = b'Connection: close\r\n'
+LATE_REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nendivesaddle-request-id: earlier\r\n'
+    b'endivesaddle-not-run: 1\r\nContent-Length: 0\r\n\r\n'
+)
 BRACKETS = b'[' * 5000
 ROUTE = Route(
     'r', 'boards', '/b/', Repeat.STREAMED, 4000, 500, 1, (Target('plain', 1),), 2, False, True
@@ -56,6 +60,7 @@
         self.whole_count = 0
         self.asked_count = 0
         self.closes_once = False
+        self.first_answer = b''
         self._report = REPORTS[report]
         self._born_unix_ms = BORN_UNIX_MS
         self._breaks = False
@@ -146,10 +151,14 @@
     def _answer_report(self, writer: asyncio.StreamWriter) -> None:
         self.asked_count += 1
         report = self._report(self._born_unix_ms)
+        if self.first_answer:
+            report = self.first_answer
+            self.first_answer = b''
         if self.closes_once:
             self.closes_once = False
             report = report.replace(b'Content-Length', b'%sContent-Length' % CLOSE)
-        writer.write(report)
+        if report != CLOSE:
+            writer.write(report)
         if CLOSE in report:
             writer.close()
 
--- a/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
@@ -14,7 +14,7 @@
     ServerConnection,
     connect,
 )
-from endivesaddle.fleet.interfaces import NeverSent, ServerLeft
+from endivesaddle.fleet.interfaces import NeverSent, ReportLost, ServerLeft
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 Connect = Callable[[str], Awaitable[ServerConnection]]
@@ -112,17 +112,25 @@
     ) -> ServerConnection:
         if prove is None:
             return await self._acquire(lifetime, address)
+        connection = await self._acquire(lifetime, address)
         for _ in range(MAX_PROOFS):
-            connection = await self._acquire(lifetime, address)
-            try:
-                await prove(connection)
-            except BaseException:
-                self._release(lifetime, connection)
-                raise
-            if connection.idle():
+            if await self._proves(lifetime, connection, prove):
                 return connection
             connection.abort()
-        raise NeverSent('the server closes its connections after a report')
+            connection = await self._open(address)
+        connection.abort()
+        raise NeverSent('the connections of the server end before or after a report')
+
+    async def _proves(self, lifetime: str, connection: ServerConnection, prove: Prove) -> bool:
+        """Return whether a connection is proven and usable; raise ``NeverSent`` if disproved."""
+        try:
+            await prove(connection)
+        except ReportLost:
+            return False
+        except BaseException:
+            self._release(lifetime, connection)
+            raise
+        return connection.idle()
 
     async def _acquire(self, lifetime: str, address: str) -> ServerConnection:
         idle = self._idle.get(lifetime, [])
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -143,7 +143,7 @@
         """
         self.pool = pool
         self.held = held or HeldBytes()
-        self.proofs = IncarnationProofs(reports)
+        self.proofs = IncarnationProofs(reports, header_names.request_id)
         self.unread = UnreadHeaders(header_names)
         self._header_names = header_names
         self._clock = clock
--- a/packages/backend_servers/src/endivesaddle/backend_servers/incarnation_proofs.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/incarnation_proofs.py
@@ -12,7 +12,7 @@
 
 from endivesaddle.backend_servers.server_connection import ServerConnection
 from endivesaddle.fleet.decoding import UnreadableValue
-from endivesaddle.fleet.interfaces import NeverSent, ServerLost, ServerReplaced
+from endivesaddle.fleet.interfaces import NeverSent, ReportLost, ServerLost, ServerReplaced
 from endivesaddle.fleet.routes.declared import RouteServer
 
 REPORT_S = 1.0
@@ -46,10 +46,14 @@
     refused or broke in the last ``DOUBT_S``.
     """
 
-    def __init__(self, reports: ServerReports | None = None) -> None:
-        """Initialize without proofs; without ``reports`` no server is asked."""
+    def __init__(self, reports: ServerReports | None = None, request_id_header: str = '') -> None:
+        """Initialize without proofs; without ``reports`` no server is asked.
+
+        A response that names a request in ``request_id_header`` is none to a report.
+        """
         self.asked_count = 0
         self._reports = reports
+        self._request_id_header = request_id_header.encode('latin-1')
         self._proven: dict[str, list[ServerConnection]] = {}
         self._silent_until_s: dict[str, float] = {}
         self._doubted_until_s: dict[str, float] = {}
@@ -61,8 +65,8 @@
     async def prove(self, connection: ServerConnection, server: RouteServer) -> None:
         """Prove that a connection without a request leads to an incarnation of a server.
 
-        Raises ``ServerReplaced`` if it leads to another one or may do so, and ``NeverSent`` if the
-        server does not answer.
+        Raises ``ServerReplaced`` if it leads to another one or may do so, ``ReportLost`` if this
+        connection brings no report, and ``NeverSent`` if the server does not answer in time.
         """
         incarnation = server.incarnation
         if connection.incarnation == incarnation:
@@ -105,9 +109,11 @@
         try:
             with anyio.fail_after(REPORT_S):
                 born_unix_ms = await self._read(connection, server, self._reports)
-        except (ServerLost, TimeoutError) as error:
+        except ServerLost as error:
+            raise ReportLost(f'no report before the request: {error}') from error
+        except TimeoutError as error:
             self.doubt(server)
-            raise NeverSent(f'no report before the request: {error}'.strip(': ')) from error
+            raise NeverSent('no report in time') from error
         except UnreadableValue:
             # Handled like a report that does not say it.
             born_unix_ms = 0
@@ -121,6 +127,8 @@
         lines = (f'GET {reports.path} HTTP/1.1', f'host: {server.address}', '', '')
         response = connection.send('\r\n'.join(lines).encode('latin-1'), bodiless=False)
         await response.head()
+        if any(name.lower() == self._request_id_header and text for name, text in response.headers):
+            raise ServerLost('a response to an earlier request came first')
         document = bytearray()
         async for chunk in response.chunks():
             document += chunk
--- a/packages/fleet/src/endivesaddle/fleet/interfaces.py
+++ b/packages/fleet/src/endivesaddle/fleet/interfaces.py
@@ -223,6 +223,10 @@
     """The backend server is not, or may not be, the incarnation for which the request is."""
 
 
+class ReportLost(NeverSent):
+    """A connection brought no report of its server; another one may."""
+
+
 class ServerRefused(NeverSent):
     """The backend server refused the connection because its process has ended."""
 
