Relay the length of a body that is too long to be held back

What callers saw: a body of more than 2 MB came in chunks although its server had told its length. Cause: the length is dropped with the headers of the connection, and set anew only for a body that is held back. The stand-in of the scenario of slow callers tells the length of its answers.

--- a/features/subjects/signalled_programs.py
+++ b/features/subjects/signalled_programs.py
@@ -214,8 +214,10 @@
     echoed = [pair for pair in scope['headers'] if pair[0] == b'attempt-id']
     start = {'type': 'http.response.start', 'status': 200, 'headers': [SEAL, *echoed]}
     if scope['path'].startswith(LARGE):
+        size = scope['path'].removeprefix(LARGE)
+        start['headers'].append((b'content-length', size.encode()))
         await send(start)
-        body = b'x' * int(scope['path'].removeprefix(LARGE))
+        body = b'x' * int(size)
         await send({'type': 'http.response.body', 'body': body})
         return
     if scope['path'].startswith('/p/'):
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -60,6 +60,7 @@
         self.headers: Pairs = tuple(
             pair for pair in pairs if pair[0] not in HOP_BY_HOP and pair[0] not in dropped
         )
+        self.length: Pairs = tuple(pair for pair in pairs if pair[0] == LENGTH)
         statements = _values(pairs, header_names.declined)
         self.declined = bool(statements) and statements <= REFUSES
         answering = _values(pairs, header_names.answering) - {''}
--- a/packages/fleet/src/endivesaddle/fleet/routes/execution.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/execution.py
@@ -386,7 +386,7 @@
             raise ServerLost('a long body can not follow the events of a stream')
         self._relays_long = True
         self._caller.stage = Stage.STREAMING
-        await self._answer.start(response.status, response.headers)
+        await self._answer.start(response.status, (*response.headers, *response.length))
         async for chunk in response.rest():
             await self._sink.write(chunk)
         await self._sink.finish()
--- a/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/forwarded.py
@@ -162,6 +162,7 @@
 class ServerResponse(Protocol):
     """The head of a server's response, and its body on demand.
 
+    ``length`` is the header that says how long the body is, none if that isn't known.
     ``own`` is whether it answers this request: if not, it says nothing about it.  ``answered_id``
     is the id of the request that it names, '' for none.  ``skipped`` is the response to another
     request that came before it on its connection, if any.  ``sealed`` is whether it has the
@@ -174,6 +175,7 @@
 
     status: int
     headers: Pairs
+    length: Pairs
     own: bool
     answered_id: str
     skipped: ForeignResponse | None
