--- a/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
@@ -27,7 +27,7 @@
 server closes the connection."""
 BODILESS = 'HEAD'
 MAX_PROOFS = 2
-"""Servers close a connection behind some of their responses."""
+"""Connections that are tried for one request if the server closes them behind its report."""
 
 
 class OutgoingRequest(NamedTuple):
@@ -83,9 +83,7 @@
         encoded = request.encoded()
         connection = await self._acquire_proven(lifetime, address, request.prove)
         try:
-            # Checked again after connecting, which may take a second.  Failure: the server
-            # announced meanwhile that it leaves or rejects requests, and got the request up
-            # to 1 s after that.
+            # Checked after connecting, since the server may have started to leave meanwhile.
             if not request.may_send():
                 raise ServerLeft('the server accepts no more requests')
             response = connection.send(encoded, request.method == BODILESS, request.request_id)
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -185,7 +185,7 @@
             )
             raise
         except (ServerLost, ServerRefused):
-            self.proofs.doubt(server)
+            self.proofs.mark_suspect(server)
             raise
         finally:
             share.release()
--- a/packages/backend_servers/src/endivesaddle/backend_servers/held_bytes.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/held_bytes.py
@@ -1,15 +1,11 @@
-"""A bound on the bytes of responses that a process holds, over all its requests.
-
-Failure: each response kept to a bound of its own, and hundreds of them at once exceeded the memory
-of the process.
-"""
+"""A bound on the memory of buffered responses, over all requests of a process."""
 
 from collections.abc import Callable
 
 from endivesaddle.fleet.interfaces import ServerLost
 
 MAX_HELD_BYTES = 1 << 25
-"""Bytes that all responses of a process may hold together: a sixth of a small router's memory."""
+"""Maximum of buffered bytes of all responses of a process."""
 FREE_BYTES = 1 << 14
 """Bytes that each response may always hold, so that ordinary ones never depend on others."""
 
--- a/packages/backend_servers/src/endivesaddle/backend_servers/incarnation_proofs.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/incarnation_proofs.py
@@ -18,13 +18,13 @@
 REPORT_S = 1.0
 """Time-out of a report, as of a connection: it needs no slot of the server."""
 MAX_REPORT_BYTES = 1 << 18
-SHARED_S = 0.5
+PROOF_VALID_S = 0.5
 """For so long, data that comes over a proven connection proves new connections too.
 
 Longer would be wrong for a machine that was lost and closed nothing."""
-SILENT_S = 10.0
+NO_REPORT_RETRY_S = 10.0
 """A server that does not report when it was born is asked again after this."""
-DOUBT_S = 5.0
+SUSPECT_S = 5.0
 """A process that ended has lost its entry by then: after three check-ins, and a read of it."""
 MAX_KEPT = 1024
 OK = 200
@@ -43,7 +43,7 @@
     """What one router knows about the incarnations behind its connections.
 
     A server without reports counts as the incarnation of its entry, unless a connection to it was
-    refused or broke in the last ``DOUBT_S``.
+    refused or broke in the last ``SUSPECT_S``.
     """
 
     def __init__(self, reports: ServerReports | None = None, request_id_header: str = '') -> None:
@@ -55,12 +55,12 @@
         self._reports = reports
         self._request_id_header = request_id_header.encode('latin-1')
         self._proven: dict[str, list[ServerConnection]] = {}
-        self._silent_until_s: dict[str, float] = {}
-        self._doubted_until_s: dict[str, float] = {}
+        self._asked_again_s: dict[str, float] = {}
+        self._suspect_until_s: dict[str, float] = {}
 
-    def doubt(self, server: RouteServer) -> None:
+    def mark_suspect(self, server: RouteServer) -> None:
         """Record that a connection to a server was refused or broke."""
-        _keep(self._doubted_until_s, server.incarnation, _now_s() + DOUBT_S)
+        _keep(self._suspect_until_s, server.incarnation, _now_s() + SUSPECT_S)
 
     async def prove(self, connection: ServerConnection, server: RouteServer) -> None:
         """Prove that a connection without a request leads to an incarnation of a server.
@@ -71,17 +71,17 @@
         incarnation = server.incarnation
         if connection.incarnation == incarnation:
             return
-        if not self._shares(incarnation):
+        if not self._recently_proven(incarnation):
             born_unix_ms = await self._born_unix_ms(connection, server)
             if born_unix_ms == 0:
-                self._check_doubt(incarnation)
+                self._check_suspect(incarnation)
                 return
             if born_unix_ms != server.born_unix_ms:
                 raise ServerReplaced(f'the server was born at {born_unix_ms}')
         connection.incarnation = incarnation
         self._proven.setdefault(incarnation, []).append(connection)
 
-    def _shares(self, incarnation: str) -> bool:
+    def _recently_proven(self, incarnation: str) -> bool:
         """Return whether the process behind a proven connection was there a moment ago."""
         proven = [one for one in self._proven.pop(incarnation, []) if one.open]
         if proven:
@@ -92,17 +92,17 @@
                 for name, members in self._proven.items()
                 if any(one.open for one in members)
             }
-        return any(one.received_s > _now_s() - SHARED_S for one in proven)
+        return any(one.received_s > _now_s() - PROOF_VALID_S for one in proven)
 
-    def _check_doubt(self, incarnation: str) -> None:
-        if self._doubted_until_s.get(incarnation, 0) > _now_s():
+    def _check_suspect(self, incarnation: str) -> None:
+        if self._suspect_until_s.get(incarnation, 0) > _now_s():
             raise ServerReplaced('the server may have started again, and reports nothing')
 
     async def _born_unix_ms(self, connection: ServerConnection, server: RouteServer) -> int:
         """Ask a server; return 0 if it does not say when it was born."""
         if self._reports is None or not server.born_unix_ms:
             return 0
-        if self._silent_until_s.get(server.incarnation, 0) > _now_s():
+        if self._asked_again_s.get(server.incarnation, 0) > _now_s():
             return 0
         self.asked_count += 1
         born_unix_ms = 0
@@ -112,13 +112,13 @@
         except ServerLost as error:
             raise ReportLost(f'no report before the request: {error}') from error
         except TimeoutError as error:
-            self.doubt(server)
+            self.mark_suspect(server)
             raise NeverSent('no report in time') from error
         except UnreadableValue:
             # Handled like a report that does not say it.
             born_unix_ms = 0
         if not born_unix_ms:
-            _keep(self._silent_until_s, server.incarnation, _now_s() + SILENT_S)
+            _keep(self._asked_again_s, server.incarnation, _now_s() + NO_REPORT_RETRY_S)
         return born_unix_ms
 
     async def _read(
