Tell servers the time that is left when the request is sent, and open no connection for nothing

What servers saw: a deadline that was taken before the connection and the report: 2,999 ms were told where 2,400 were left. A third connection was opened and closed at once when two reports were lost. Cause: the request was encoded before its connection was acquired; the loop over connections opened the next one behind its last try, too. Change: the request is encoded right before it is sent; there are two tries, the second on a new connection. The connection that was opened for nothing was found by reading and has no scenario.

--- a/features/server_reports.feature
+++ b/features/server_reports.feature
@@ -60,3 +60,9 @@
     Given a server that reports when it was born, and once closes instead
     When it gets 2 streams in turn
     Then 2 streams were read whole after 2 reports
+
+  Scenario: A server is told the time that is left after its report
+    Failure: the time left was taken before the report, which may take a second.
+    Given a server that reports when it was born, after 0.6 seconds
+    When it gets a stream with 3 seconds left
+    Then it was told at most 2450 ms
--- a/features/steps/server_reports_steps.py
+++ b/features/steps/server_reports_steps.py
@@ -28,6 +28,26 @@
     context.server.first_answer = CLOSE
 
 
+@given('a server that reports {report}, after {seconds:f} seconds')
+def start_slow(context: Any, report: str, seconds: float) -> None:
+    """Start a server that takes its time for a report."""
+    start(context, report)
+    context.server.report_after_s = seconds
+
+
+@when('it gets a stream with {seconds:d} seconds left')
+def with_deadline(context: Any, seconds: int) -> None:
+    """Get one stream."""
+    context.server.left_s = seconds
+    context.server.read_in_turn(1)
+
+
+@then('it was told at most {left_ms:d} ms')
+def told(context: Any, left_ms: int) -> None:
+    """Check the time that the request named."""
+    assert 0 < context.server.told_ms <= left_ms, context.server.told_ms
+
+
 @given('a server that reports {report}')
 def start(context: Any, report: str) -> None:
     """Start a server."""
--- a/features/subjects/server_reports.py
+++ b/features/subjects/server_reports.py
@@ -61,6 +61,9 @@
         self.asked_count = 0
         self.closes_once = False
         self.first_answer = b''
+        self.report_after_s = 0.0
+        self.left_s = GUARD_S
+        self.told_ms = 0
         self._report = REPORTS[report]
         self._born_unix_ms = BORN_UNIX_MS
         self._breaks = False
@@ -118,7 +121,7 @@
             headers=(('host', 'boards'), ('endivesaddle-request-id', str(number))),
             body=b'',
             deadline_unix_s=now_unix_s + GUARD_S,
-            end_unix_s=now_unix_s + GUARD_S,
+            end_unix_s=now_unix_s + self.left_s,
             prompt_tokens=0,
             max_tokens=0,
             parts=(),
@@ -142,6 +145,7 @@
             while not writer.is_closing():
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 if head.startswith('GET /report '):
+                    await anyio.sleep(self.report_after_s)
                     self._answer_report(writer)
                 else:
                     await self._answer(head, writer)
@@ -163,6 +167,7 @@
             writer.close()
 
     async def _answer(self, head: str, writer: asyncio.StreamWriter) -> None:
+        self.told_ms = int(head.partition('endivesaddle-deadline-ms: ')[2].partition('\r')[0])
         request_id = head.partition('endivesaddle-request-id: ')[2].partition('\r')[0]
         writer.write(f'{HEAD}{request_id}{CHUNKED}'.encode())
         for _ in range(2):
--- a/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/connection_pool.py
@@ -26,13 +26,12 @@
 """Margin subtracted from a server's keep-alive time, so that a request is not sent while the
 server closes the connection."""
 BODILESS = 'HEAD'
-MAX_PROOFS = 2
-"""Connections that are tried for one request if the server closes them behind its report."""
 
 
 class OutgoingRequest(NamedTuple):
-    """A request to send; target and headers are the bytes that were received.
+    """A request to send; the target is that which was received.
 
+    ``headers`` returns them as of now: a deadline among them says how much time is left.
     ``may_send`` is called right before sending: does the server still accept requests?  What it
     raises is passed on; the request is not sent then.  ``request_id`` identifies the request in
     responses, '' if they don't name it.  ``prove`` proves before sending that a connection leads to
@@ -41,7 +40,7 @@
 
     method: str
     target: str
-    headers: RawHeaders
+    headers: Callable[[], RawHeaders]
     body: bytes
     may_send: Callable[[], bool]
     request_id: str = ''
@@ -50,7 +49,7 @@
     def encoded(self) -> bytes:
         """Return its bytes; raise ``NeverSent`` if a header contains a line break."""
         lines = [f'{self.method} {self.target} HTTP/1.1'.encode('latin-1')]
-        lines.extend(b'%s: %s' % pair for pair in self.headers)
+        lines.extend(b'%s: %s' % pair for pair in self.headers())
         head = b'\r\n'.join(lines)
         breaks = len(lines) - 1
         if (head.count(b'\n'), head.count(b'\r'), head.count(b'\0')) != (breaks, breaks, 0):
@@ -80,13 +79,9 @@
         Raises ``NeverSent`` if the server did not get the request, ``ServerLost`` if it may have
         run.
         """
-        encoded = request.encoded()
         connection = await self._acquire_proven(lifetime, address, request.prove)
         try:
-            # Checked after connecting, since the server may have started to leave meanwhile.
-            if not request.may_send():
-                raise ServerLeft('the server accepts no more requests')
-            response = connection.send(encoded, request.method == BODILESS, request.request_id)
+            response = _send(connection, request)
             await response.head()
             yield response
         finally:
@@ -111,11 +106,13 @@
         if prove is None:
             return await self._acquire(lifetime, address)
         connection = await self._acquire(lifetime, address)
-        for _ in range(MAX_PROOFS):
-            if await self._proves(lifetime, connection, prove):
-                return connection
-            connection.abort()
-            connection = await self._open(address)
+        if await self._proves(lifetime, connection, prove):
+            return connection
+        # Servers close some kept connections as they are asked, and some behind a report.
+        connection.abort()
+        connection = await self._open(address)
+        if await self._proves(lifetime, connection, prove):
+            return connection
         connection.abort()
         raise NeverSent('the connections of the server end before or after a report')
 
@@ -156,3 +153,12 @@
             self._idle.setdefault(lifetime, []).append(connection)
         else:
             connection.abort()
+
+
+def _send(connection: ServerConnection, request: OutgoingRequest) -> RawResponse:
+    """Send a request on a connection, which may have taken seconds to make."""
+    encoded = request.encoded()
+    # The server may have started to leave meanwhile.
+    if not request.may_send():
+        raise ServerLeft('the server accepts no more requests')
+    return connection.send(encoded, request.method == BODILESS, request.request_id)
--- a/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/forward_client.py
@@ -159,11 +159,10 @@
         """
         request = call.request
         server = call.server
-        headers = self._headers(call)
         sent = OutgoingRequest(
             request.method,
             request.target,
-            headers,
+            partial(self._headers, call),
             request.body,
             call.may_send,
             request.request_id,
