Test that a deadline blames only a server that may run the request

Change: a scenario for an attempt that runs, one that is never sent, and one that is answered with a body that stalls.

--- a/features/forward_runs.feature
+++ b/features/forward_runs.feature
@@ -201,6 +201,19 @@
       | relocated_unsealed |
       | declined_sealed    |
 
+  Scenario Outline: A deadline counts as a crash only against a server that may run the request
+    Failure: a server that had not got the request, or had answered it, was noted as crashed under it.
+    Given a safe route with 1 attempts, whose servers <servers>
+    When a request is forwarded
+    And the entries of all servers are removed
+    Then <crashes> crashes are noted
+
+    Examples:
+      | servers           | crashes |
+      | hangs             | 1       |
+      | unconnected       | 0       |
+      | relocated_stalled | 0       |
+
   Scenario Outline: An attempt that ran is not taken back by a later one that did not
     Failure: the attempt that was counted last was taken back, whichever had failed.  A request that
     ran was told as not run, its account was billed nothing, and it was sent more often than
--- a/features/steps/forward_runs_steps.py
+++ b/features/steps/forward_runs_steps.py
@@ -186,3 +186,15 @@
     played, broken = broken_promises()
     assert played > MIN_ORDERS, played
     assert not broken, f'{len(broken)} of {played}: {broken[:5]}'
+
+
+@when('the entries of all servers are removed')
+def remove_servers(context: Any) -> None:
+    """Remove them from the routing state."""
+    context.runs.remove_servers()
+
+
+@then('{count:d} crashes are noted')
+def crashes(context: Any, count: int) -> None:
+    """Compare the records of crashes."""
+    assert context.runs.crashes() == count, context.runs.crashes()
--- a/features/subjects/forward_runs.py
+++ b/features/subjects/forward_runs.py
@@ -53,7 +53,9 @@
     }
 )
 SEAL = (('seal', 'server'),)
-NOT_RUN_THERE = frozenset(('declines', 'moved', 'readdressed', 'unreached', 'closed'))
+NOT_RUN_THERE = frozenset(
+    ('declines', 'moved', 'readdressed', 'unreached', 'closed', 'unconnected')
+)
 """Behaviours that don't run the request."""
 PROMISES = frozenset((408, 421, 429, 503))
 """Statuses by which a caller is told that its request did not run."""
@@ -148,6 +150,13 @@
     return answer
 
 
+def relocated_stalled(call: ServerCall) -> ScriptedAnswer:
+    """Run the request, and answer like ``relocated_unsealed`` with a body that never comes."""
+    answer = relocated_unsealed(call)
+    answer.stalls = True
+    return answer
+
+
 def declined_sealed(call: ServerCall) -> ScriptedAnswer:
     """Run the request, and answer with both a refusal and the seal of a run."""
     answer = declines(call)
@@ -267,6 +276,7 @@
             invalid,
             relocated,
             relocated_unsealed,
+            relocated_stalled,
             readdressed,
             readdressed_sealed,
             declined_sealed,
@@ -309,6 +319,8 @@
         name = self._script[min(len(self.calls), len(self._script) - 1)]
         self.calls.append(call)
         await anyio.sleep(0.001)
+        if name == 'unconnected':
+            await anyio.sleep_forever()
         if name != 'unreached':
             record_sent(call)
         if name not in NOT_RUN_THERE:
@@ -464,6 +476,14 @@
         )
         return sum(backend.accepts_requests(self._now_unix_s) for backend in backends)
 
+    def remove_servers(self) -> None:
+        """Remove the entries of all servers."""
+        self._loop.run(self._remove_servers)
+
+    def crashes(self) -> int:
+        """Return the number of requests that are noted with a crash."""
+        return len(self._dispatcher.crashes)
+
     def retries(self) -> float:
         """Return the retries that were paid for."""
         return self._dispatcher.retry_shares.dump(self._now_unix_s)['engines']['retries']
@@ -512,6 +532,10 @@
         self._now_unix_s = self._clock.now_s()
         self.took_s = self._now_unix_s - began_unix_s
 
+    async def _remove_servers(self) -> None:
+        for lifetime in tuple(self._routing_state.servers):
+            self._routing_state.remove_server(lifetime, 'test')
+
     async def _leave(self) -> None:
         with anyio.move_on_after(0.05):
             await self._request()
