Decode and convert what others wrote in one module, replies of peers and parts of the configuration too

Cause: revision_parts and the models of callers called msgspec.convert themselves, peers named protobuf's error alone, and the scenario that searches the sources did not look for either. No value made convert raise RecursionError: rows and bodies nested 400 to 1,000 deep, each kind of row, were tried. So this closes a path by reading, not a fault that was seen. Change: all three go through fleet/decoding; the scenario looks for conversions and for protobuf's error. An instance that stops logs an unreadable instance once. Two comments lose how a value was chosen and a word of the users' pages.

--- a/features/steps/unreadable_values_steps.py
+++ b/features/steps/unreadable_values_steps.py
@@ -20,7 +20,10 @@
 OTHER = 'servers/other'
 CONFIG = 'op/config'
 DECODER = 'packages/fleet/src/endivesaddle/fleet/decoding.py'
-DECODES = re.compile(r'msgspec\.(json|msgpack)\.(decode|Decoder)|tomllib|FromString|\.decompress')
+DECODES = re.compile(
+    r'msgspec\.((json|msgpack)\.(decode|Decoder)|convert)|tomllib|FromString|\.decompress'
+    r'|import DecodeError'
+)
 FLEET = 'packages/fleet/src/endivesaddle/fleet'
 OWN_VALUES = frozenset(
     f'{FLEET}/{name}.py'
--- a/packages/backend_servers/src/endivesaddle/backend_servers/incarnation_proofs.py
+++ b/packages/backend_servers/src/endivesaddle/backend_servers/incarnation_proofs.py
@@ -25,7 +25,7 @@
 NO_REPORT_RETRY_S = 10.0
 """A server that does not report when it was born is asked again after this."""
 SUSPECT_S = 5.0
-"""A process that ended has lost its entry by then: after three check-ins, and a read of it."""
+"""A process that ended has lost its entry by then: after three heartbeats, and a read of it."""
 MAX_KEPT = 1024
 OK = 200
 
--- a/packages/callers/src/endivesaddle/callers/models.py
+++ b/packages/callers/src/endivesaddle/callers/models.py
@@ -9,7 +9,7 @@
 from endivesaddle.callers.refusals import Invalid
 from endivesaddle.callers.settings import CallersSettings
 from endivesaddle.fleet.configuration import Model
-from endivesaddle.fleet.decoding import UnreadableValue, decode_json
+from endivesaddle.fleet.decoding import UnreadableValue, convert, decode_json
 
 Shape = TypeVar('Shape')
 
@@ -97,10 +97,11 @@
 
 def _convert(document: dict[str, Any], shape: type[Shape]) -> Shape | Invalid:
     try:
-        return msgspec.convert(document, shape)
-    except msgspec.ValidationError as error:
-        message, _, path = str(error).partition(' - at `$')
-        return Invalid('invalid_field', str(error), path.strip('.`') or message)
+        return convert(document, shape, strict=True)
+    except UnreadableValue as error:
+        reason = str(error.__cause__)
+        message, _, path = reason.partition(' - at `$')
+        return Invalid('invalid_field', reason, path.strip('.`') or message)
 
 
 def _unknown_model(name: str) -> Invalid:
--- a/packages/fleet/src/endivesaddle/fleet/decoding.py
+++ b/packages/fleet/src/endivesaddle/fleet/decoding.py
@@ -46,13 +46,18 @@
     return _any_json.decode(document)
 
 
-def convert(value: Any, value_type: type[Value]) -> Value:
+MESSAGE_ERRORS = (DecodeError, RecursionError)
+"""What the library raises for a protobuf message that it can't read."""
+
+
+def convert(value: Any, value_type: type[Value], *, strict: bool = False) -> Value:
     """Return a decoded value as ``value_type``; raises ``UnreadableValue``.
 
-    Whole numbers may have a fraction of zero: other writers don't tell 5 from 5.0.
+    Unless ``strict``, whole numbers may have a fraction of zero: other writers don't tell 5 from
+    5.0.
     """
     try:
-        return msgspec.convert(value, value_type, strict=False)
+        return msgspec.convert(value, value_type, strict=strict)
     except (msgspec.MsgspecError, RecursionError, ValueError, TypeError) as error:
         raise _unreadable(error) from error
 
--- a/packages/fleet/src/endivesaddle/fleet/revision_parts.py
+++ b/packages/fleet/src/endivesaddle/fleet/revision_parts.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from endivesaddle.fleet import configuration as declared
-from endivesaddle.fleet.decoding import UnreadableValue, decode_json
+from endivesaddle.fleet.decoding import UnreadableValue, convert, decode_json
 from endivesaddle.fleet.errors import FleetError
 
 SERVER_PARTS = 16
@@ -125,7 +125,7 @@
     try:
         decoded = decode_json(body)
         return decoded if row_type is None else _decode_rows(row_type, decoded)
-    except (UnreadableValue, msgspec.MsgspecError, TypeError) as error:
+    except (UnreadableValue, TypeError) as error:
         raise RevisionError(f'part {name} of the configuration can not be decoded') from error
 
 
@@ -154,7 +154,7 @@
 
 def _decode_rows(row_type: Any, decoded: list[list[Any]]) -> list[Any]:
     field_count = len(row_type._fields)
-    return [msgspec.convert(row[:field_count], row_type) for row in decoded]
+    return [convert(row[:field_count], row_type, strict=True) for row in decoded]
 
 
 def _split(
--- a/packages/fleet/src/endivesaddle/fleet/routes/origin_keeper.py
+++ b/packages/fleet/src/endivesaddle/fleet/routes/origin_keeper.py
@@ -41,6 +41,7 @@
         self._parts = parts
         self._origins = origins
         self._expired_unix_s = 0.0
+        self._unreadable = UnreadableValues()
 
     def register(self, handlers: Handlers) -> None:
         """Answer the routers' calls."""
@@ -72,7 +73,7 @@
             return
         try:
             instances = await list_instances(
-                self._parts.store, UnreadableValues(), now_unix_s + CALL_S
+                self._parts.store, self._unreadable, now_unix_s + CALL_S
             )
         except StoreUnreachable as error:
             events.ORIGINS_UNCOPIED.log(address='', origins=len(self._origins), reason=str(error))
--- a/packages/fleet/src/endivesaddle/fleet/runs/answer.py
+++ b/packages/fleet/src/endivesaddle/fleet/runs/answer.py
@@ -9,7 +9,7 @@
 BLOCK_BYTES = 16_384
 """Bytes that are compressed together; a late follower unpacks one block at a time."""
 RUN_BYTES = 8192
-"""What a run takes besides its answer, measured; see docs/design/runs.md."""
+"""Memory of a run besides its answer; see docs/design/runs.md."""
 LEVEL = 1
 """Fastest compression: events of one answer are much alike and shrink tenfold anyway."""
 
--- a/packages/instances/src/endivesaddle/instances/peers.py
+++ b/packages/instances/src/endivesaddle/instances/peers.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import anyio
-from google.protobuf.message import DecodeError
 from grpclib.client import Stream
 from grpclib.const import Cardinality, Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -19,6 +18,7 @@
 from h2.exceptions import H2Error
 
 from endivesaddle.fleet.clock import Clock, left_s
+from endivesaddle.fleet.decoding import MESSAGE_ERRORS
 from endivesaddle.fleet.errors import PeerNoReply, PeerRefused, PeerUnreachable
 from endivesaddle.fleet.ports import Reply, Request
 from endivesaddle.instances import tls
@@ -142,7 +142,7 @@
         except GRPCError as error:
             self.failures[rpc.path] += 1
             raise attempt.refused(error) from error
-        except DecodeError as error:
+        except MESSAGE_ERRORS as error:
             self.failures[rpc.path] += 1
             raise PeerNoReply(f'{address} sent an unreadable reply to {rpc.path}') from error
         except BROKEN as error:
