--- a/features/subjects/crashing_fleet.py
+++ b/features/subjects/crashing_fleet.py
@@ -17,9 +17,10 @@
 from endivesaddle.fleet.routes.running import Runner
 from endivesaddle.stand_ins.memory_store import MemoryStore
 from subjects.cut_router import CutRouter
-from subjects.forward_runs import RecordingSink, ScriptedAnswer, record_sent
+from subjects.forward_runs import RecordingSink, record_sent
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
 from subjects.router_fleet import RouterFleet
+from subjects.server_behaviours import ScriptedAnswer
 
 START_S = 3.0
 RUN_S = 0.05
--- a/features/subjects/promise_orders.py
+++ b/features/subjects/promise_orders.py
@@ -3,13 +3,8 @@
 import itertools
 from collections.abc import Iterator
 
-from subjects.forward_runs import (
-    BEHAVIOURS,
-    KINDS,
-    PROMISES,
-    PROMPT_TOKENS,
-    ForwardRuns,
-)
+from subjects.forward_runs import KINDS, PROMISES, PROMPT_TOKENS, ForwardRuns
+from subjects.server_behaviours import BEHAVIOURS
 
 ATTEMPTS = 2
 LONGER = (
--- a/features/subjects/resumed_streams.py
+++ b/features/subjects/resumed_streams.py
@@ -16,10 +16,11 @@
 from endivesaddle.fleet.routes.running import Runner
 from endivesaddle.wire import rpcs
 from subjects.cut_router import CutRouter
-from subjects.forward_runs import RecordingSink, ScriptedAnswer, record_sent
+from subjects.forward_runs import RecordingSink, record_sent
 from subjects.leaving_servers import SERVERS, SERVICE, Entries
 from subjects.memory_sidecar import MemorySidecar
 from subjects.router_fleet import RouterFleet
+from subjects.server_behaviours import ScriptedAnswer
 
 EVENTS = 40
 EVENT_S = 0.1
--- a/features/subjects/waiting_fleet.py
+++ b/features/subjects/waiting_fleet.py
@@ -31,8 +31,9 @@
 from endivesaddle.fleet.routing.forward_settings import ForwardSettings
 from endivesaddle.fleet.routing.waiting_settings import WaitingSettings
 from endivesaddle.fleet.sentinels import NOT_RUN, Refusal
-from subjects.forward_runs import RecordingSink, ScriptedAnswer, record_sent
+from subjects.forward_runs import RecordingSink, record_sent
 from subjects.links_loop import ScenarioLoop
+from subjects.server_behaviours import ScriptedAnswer
 from subjects.settled_retries import settle
 
 RUN_S = 0.1
