--- a/features/subjects/fetch_choice.py
+++ b/features/subjects/fetch_choice.py
@@ -129,7 +129,7 @@
 
     def exchange(self, lifetime: str, address: str, sent: OutgoingRequest) -> Any:
         """Record the headers of a request."""
-        self.headers = list(sent.headers)
+        self.headers = list(sent.headers())
         raise NeverSent('recorded')
 
 
--- a/features/subjects/httpx_links.py
+++ b/features/subjects/httpx_links.py
@@ -42,7 +42,7 @@
         sent = httpx.Request(
             request.method,
             f'http://{address}{request.target}',
-            headers=[pair for pair in request.headers if pair[0] != b'content-length'],
+            headers=[pair for pair in request.headers() if pair[0] != b'content-length'],
             content=request.body,
         )
         try:
